--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,128 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"yarrowbarrow/logic"
+)
+
+// readSettings takes the figures that the module reads out of the wire's settings; other keys are passed over.
+func readSettings(raw json.RawMessage) (s logic.Settings, columns []string, err error) {
+	var c struct {
+		Balancers int
+		Classes   []struct {
+			Name             string
+			Aim, Deadline    time.Duration
+			AimStretch       float64 `json:"aim_stretch"`
+			Gain             float64
+			LateWorth        float64 `json:"late_worth"`
+			Repeat, Group    string
+			KeyTTL           time.Duration    `json:"key_ttl"`
+			ByArrival        bool             `json:"by_arrival"`
+			AllowedIn        []logic.Location `json:"allowed_in"`
+			MachineTypesOpen []logic.KindName `json:"machine_types_open"`
+		}
+		Discovery  string
+		FamilyInfo struct {
+			BlockedByLoads []bool    `json:"blocked_by_loads"`
+			GrantCap       float64   `json:"grant_cap"`
+			GrantsCount    bool      `json:"grants_count"`
+			HoldsTables    []bool    `json:"holds_tables"`
+			KindCores      []float64 `json:"kind_cores"`
+			OutOfMemory    string    `json:"out_of_memory"`
+			RAM            []float64 `json:"ram_of_kind_mb"`
+			RanksHeeded    bool      `json:"ranks_heeded"`
+			WidthByClass   []float64 `json:"width_by_class"`
+		} `json:"family_info"`
+		LoadReport struct {
+			Columns []string
+		} `json:"load_report"`
+		MachineTypes []logic.KindName `json:"machine_types"`
+		Orgs         []struct {
+			Name     logic.CustomerID
+			QuotaRPS float64 `json:"quota_rps"`
+			Share    float64
+		}
+		OverShareWorth float64 `json:"over_share_worth"`
+		ClientHabits   struct {
+			MarksRetry bool `json:"marks_retry"`
+		} `json:"client_habits"`
+		Permissions struct {
+			MaxAttempts   int           `json:"max_attempts"`
+			MaxRetryAfter time.Duration `json:"max_retry_after"`
+			MayCancel     bool          `json:"may_cancel"`
+			ParallelTries bool          `json:"parallel_tries"`
+			RetryAfter    bool          `json:"retry_after"`
+		}
+		ResultMix struct {
+			Whole      float64
+			WorstClass float64 `json:"worst_class"`
+		} `json:"result_mix"`
+		Safety struct {
+			BudgetWindow    time.Duration `json:"budget_window"`
+			Cold            time.Duration
+			ExtraFloor      float64 `json:"extra_floor"`
+			ExtraPerRequest float64 `json:"extra_per_request"`
+			Fall            time.Duration
+			GraceToAnswer   time.Duration `json:"grace_to_answer"`
+			KeyQuiet        time.Duration `json:"key_quiet"`
+			MustAskIn       time.Duration `json:"must_ask_in"`
+			StartCapacity   float64       `json:"start_capacity"`
+			TipMultiple     float64       `json:"tip_multiple"`
+		}
+		Tick time.Duration
+		Zone logic.Location
+	}
+	if err = json.Unmarshal(raw, &c); err != nil {
+		return s, nil, fmt.Errorf("field config: %w", err)
+	}
+	s = logic.Settings{
+		Controllers: c.Balancers, Location: c.Zone, OverShareValue: c.OverShareWorth,
+		ListOnRequest: c.Discovery == "on_request", MayRecall: c.Permissions.MayCancel,
+		GrantsCount: c.FamilyInfo.GrantsCount, PriorityHeeded: c.FamilyInfo.RanksHeeded,
+		GrantShare: c.FamilyInfo.GrantCap, OverGrantsPage: c.FamilyInfo.OutOfMemory == "swap",
+		MaxDispatches: c.Permissions.MaxAttempts, Parallel: c.Permissions.ParallelTries,
+		Tick: c.Tick, AnswerGrace: c.Safety.GraceToAnswer, MustAskIn: c.Safety.MustAskIn,
+		StartCapacity: c.Safety.StartCapacity, Cold: c.Safety.Cold, FallMultiple: c.Safety.TipMultiple,
+		Fall: c.Safety.Fall, KeyQuiet: c.Safety.KeyQuiet, BudgetWindow: c.Safety.BudgetWindow,
+		BudgetFree: c.Safety.ExtraFloor, BudgetShare: c.Safety.ExtraPerRequest,
+		WeightWhole: c.ResultMix.Whole, WeightWorstType: c.ResultMix.WorstClass,
+		RepeatsAreMarked: c.ClientHabits.MarksRetry,
+	}
+	if c.Permissions.RetryAfter {
+		s.MaxComeBack = c.Permissions.MaxRetryAfter
+	}
+	for n, class := range c.Classes {
+		repeat, known := map[string]logic.Repeat{"retryable": logic.Restartable, "dedup": logic.Keyed,
+			"fragile": logic.RunOnce}[class.Repeat]
+		if !known {
+			return s, nil, fmt.Errorf("field config.classes.repeat: %q is not known", class.Repeat)
+		}
+		t := logic.Type{Name: logic.TypeName(class.Name), SLATime: class.Aim, SLAStretch: class.AimStretch,
+			JobTimeout: class.Deadline, Value: class.Gain, LateValue: class.LateWorth, Repeat: repeat,
+			Group:  map[string]logic.Group{"zone": logic.GroupLocation, "cell": logic.GroupCell}[class.Group],
+			Window: class.KeyTTL, Ordered: class.ByArrival, Locations: class.AllowedIn,
+			Kinds: class.MachineTypesOpen, Threads: at(c.FamilyInfo.WidthByClass, n, 1),
+			HoldsLoad: at(c.FamilyInfo.HoldsTables, n, false), StandsBy: at(c.FamilyInfo.BlockedByLoads, n, false)}
+		s.Types = append(s.Types, t)
+	}
+	for n, kind := range c.MachineTypes {
+		s.Kinds = append(s.Kinds, logic.EngineKind{Name: kind, Cores: at(c.FamilyInfo.KindCores, n, 1),
+			MemoryMB: at(c.FamilyInfo.RAM, n, 0)})
+	}
+	for _, org := range c.Orgs {
+		s.Customers = append(s.Customers, logic.Customer{Name: org.Name, JobsPerS: org.QuotaRPS,
+			ShareWant: org.Share})
+	}
+	return s, c.LoadReport.Columns, nil
+}
+
+// at is the n-th value of a list that may be shorter, or absent.
+func at[T any](list []T, n int, other T) T {
+	if n < len(list) {
+		return list[n]
+	}
+	return other
+}
--- /dev/null
+++ b/logic/host.go
@@ -0,0 +1,169 @@
+// Package logic decides when and where jobs run. logic.go holds the decisions;
+// this file holds the interface to whatever carries them out.
+package logic
+
+import "time"
+
+// Clock times and spans are whole nanoseconds; the clock starts anywhere and only moves forward.
+
+type (
+	JobID      string
+	EngineID   string
+	TypeName   string
+	CustomerID string
+	Location   string
+	KindName   string
+	Key        string
+	Tables     int64
+	Cell       int64
+	TimerID    int64
+	PeerID     int64
+)
+
+// Host carries out decisions. A call takes effect at the time of the event being handled.
+type Host interface {
+	Dispatch(job JobID, engine EngineID, timeout time.Duration)
+	SetTerms(job JobID, memoryMB float64, priority int)
+	Recall(job JobID, dispatch int)
+	Throttle(job JobID, comeBack time.Duration)
+	CancelForGood(job JobID)
+	WakeAfter(timer TimerID, in time.Duration)
+	Follow(on bool)
+	FetchList()
+	Probe(engine EngineID)
+	CloseIdle(engine EngineID)
+	TellPeer(peer PeerID, message string)
+	Log(line string)
+}
+
+type Outcome int
+
+const (
+	Done Outcome = iota
+	Errored
+	TurnedAway
+	TimedOut
+	NoConnection
+	ConnectionLost
+	Recalled
+	NotSent
+)
+
+func (o Outcome) String() string {
+	return [...]string{"done", "errored", "turned-away", "timed-out", "no-connection", "connection-lost",
+		"recalled", "not-sent"}[o]
+}
+
+type ListKind int
+
+const (
+	ListChanges ListKind = iota
+	ListWhole
+	ListRemembered
+	ListRefused
+)
+
+type Health int
+
+const (
+	Up Health = iota
+	Draining
+	Gone
+)
+
+type Topic int
+
+const (
+	Progress Topic = 1 + iota
+	Spilling
+	Waiting
+)
+
+// WaitsForLoad is the level of a Waiting note when a load holds the tables.
+const WaitsForLoad = 2
+
+type Repeat int
+
+const (
+	Restartable Repeat = iota
+	Keyed
+	RunOnce
+)
+
+// Group names the engines that drop repeats of a keyed job.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupLocation
+	GroupCell
+)
+
+// Load is an engine's report of itself; a part that was not reported is negative.
+type Load struct {
+	Util, Waiting, MemoryGranted float64
+}
+
+// Type is the settings' row of a reservation type.
+type Type struct {
+	Name       TypeName
+	SLATime    time.Duration
+	SLAStretch float64
+	JobTimeout time.Duration
+	Value      float64
+	LateValue  float64
+	Repeat     Repeat
+	Group      Group
+	Window     time.Duration
+	Ordered    bool
+	Locations  []Location
+	Kinds      []KindName
+	Threads    float64
+	HoldsLoad  bool
+	StandsBy   bool
+}
+
+type EngineKind struct {
+	Name     KindName
+	Cores    float64
+	MemoryMB float64
+}
+
+type Customer struct {
+	Name      CustomerID
+	JobsPerS  float64
+	ShareWant float64
+}
+
+// Settings are handed over at the start. A limit of zero is off, save where its comment says otherwise.
+type Settings struct {
+	Controllers      int
+	Location         Location
+	Types            []Type
+	Kinds            []EngineKind
+	Customers        []Customer
+	OverShareValue   float64
+	ListOnRequest    bool
+	MayRecall        bool
+	GrantsCount      bool
+	PriorityHeeded   bool
+	GrantShare       float64
+	OverGrantsPage   bool
+	MaxDispatches    int
+	Parallel         bool
+	MaxComeBack      time.Duration
+	Tick             time.Duration
+	AnswerGrace      time.Duration
+	MustAskIn        time.Duration
+	StartCapacity    float64
+	Cold             time.Duration
+	FallMultiple     float64
+	Fall             time.Duration
+	KeyQuiet         time.Duration
+	BudgetWindow     time.Duration
+	BudgetFree       float64
+	BudgetShare      float64
+	WeightWhole      float64
+	WeightWorstType  float64
+	RepeatsAreMarked bool
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,933 @@
+package logic
+
+// All decisions of a controller. How it is called: New, then one method for each thing that happens, with the
+// clock first; a method acts by calling the Host given to New. Both interfaces, in and out, are in host.go.
+//
+// Jobs are held and leave by least static slack, after Abbott and Garcia-Molina; docs/design.md has the design
+// and each exception to it. Every dispatch leaves through release, whose guards keep the rules.
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"sort"
+	"time"
+)
+
+// dispatch is the state of one sending of a job.
+type dispatch struct {
+	engine   *engine
+	sent     time.Duration
+	expected time.Duration // E when it was sent
+	work     time.Duration // usual work of the type, as rule 4 counts it
+	memory   float64
+	share    float64 // done, by the last note
+	noted    time.Duration
+	standing bool // a load holds its tables there
+	recalled bool
+	begun    bool // its answer has started and is the client's
+}
+
+// job is the state of a job until it is over and nothing of it is out.
+type job struct {
+	id       JobID
+	row      *row
+	customer *customer
+	line     *line
+	seq      int
+	taken    time.Duration
+	d        time.Duration // deadline
+	slack    time.Duration
+	cost     float64 // told cost in ns, or 0
+	memory   float64
+	tables   Tables
+	over     bool // beyond its customer's share
+	ended    bool // its final answer is given, or the client left
+	sent     int
+	maybeRan []*dispatch // dispatches that are out or may have run
+	out      *dispatch
+	avoid    *engine // where the last dispatch failed
+}
+
+// row is what differs by reservation type: its settings and what was learned of it.
+type row struct {
+	Type
+	unit   mean // latency per told cost, or latency where no cost is told
+	best   float64
+	bestAt time.Duration
+	work   mean // usual work in ns
+	memory mean // needed over told
+}
+
+// mean is a running mean that starts with plain averaging.
+type mean struct {
+	value float64
+	n     float64
+}
+
+func (m *mean) add(x, most float64) {
+	m.n = math.Min(m.n+1, most)
+	m.value += (x - m.value) / m.n
+}
+
+type customer struct {
+	Customer
+	tokens float64
+	filled time.Duration
+}
+
+// line is the order of the jobs of one key.
+type line struct {
+	jobs  []*job
+	rests time.Duration
+}
+
+type sending struct {
+	at   time.Duration
+	work time.Duration
+}
+
+// engine is what this controller knows of an engine while it stays known.
+type engine struct {
+	id        EngineID
+	location  Location
+	kind      KindName
+	cell      Cell
+	state     Health
+	listed    bool // seen in the list being read
+	since     time.Duration
+	cores     float64
+	memoryMB  float64
+	bound     float64 // threads this controller may have there
+	slow      mean    // latency over the best
+	threads   float64
+	granted   float64
+	out       []*job
+	cold      []sending
+	errors    float64
+	answered  time.Duration // when an answer last came
+	suspected bool
+	trial     time.Duration // when a trial job may go
+	wait      time.Duration
+}
+
+// Controller is one instance; it shares nothing with others.
+type Controller struct {
+	host    Host
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	rows    []*row
+	byName  map[TypeName]*row
+	custs   map[CustomerID]*customer
+	engines []*engine // by id, so that no order depends on a map
+	byID    map[EngineID]*engine
+	jobs    map[JobID]*job
+	held    []*job
+	lines   map[Key]*line
+	taken   []time.Duration // rule 7: jobs taken and further dispatches in the window
+	further []time.Duration
+	seq     int
+	ticking bool
+	whole   bool
+	asked   time.Duration
+	backlog float64 // thread time that the held jobs should take
+}
+
+const (
+	sweepTimer TimerID = 1
+	askTimer   TimerID = 2
+)
+
+// sweepEvery bounds how late a held job is refused; a few ticks keep the timers few.
+const sweepEvery = 20 * time.Millisecond
+
+func New(host Host, settings Settings, seed int64) *Controller {
+	c := &Controller{host: host, set: settings, rng: rand.New(rand.NewSource(seed)),
+		byName: map[TypeName]*row{}, custs: map[CustomerID]*customer{}, byID: map[EngineID]*engine{},
+		jobs: map[JobID]*job{}, lines: map[Key]*line{}}
+	for _, t := range settings.Types {
+		r := &row{Type: t}
+		c.rows = append(c.rows, r)
+		c.byName[t.Name] = r
+	}
+	for _, cust := range settings.Customers {
+		c.custs[cust.Name] = &customer{Customer: cust}
+	}
+	return c
+}
+
+// ---- the list of engines
+
+func (c *Controller) ListBegins(now time.Duration, kind ListKind) {
+	c.now, c.whole = now, kind == ListWhole || kind == ListRemembered
+	for _, e := range c.engines {
+		e.listed = false
+	}
+	// Where the list must be asked for, follow it from the start and again, after a wait, when that fails.
+	// The wait is drawn so that controllers that failed together do not ask together.
+	if !c.set.ListOnRequest {
+		return
+	}
+	if kind == ListRemembered {
+		c.host.Follow(true)
+	} else if kind == ListRefused {
+		c.host.WakeAfter(askTimer, 200*time.Millisecond+time.Duration(c.rng.Int63n(int64(800*time.Millisecond))))
+	}
+}
+
+func (c *Controller) EngineListed(now time.Duration, id EngineID, location Location, kind KindName, cell Cell,
+	health Health, weight float64, since time.Duration) {
+	e := c.byID[id]
+	if e == nil {
+		e = &engine{id: id, since: since, cores: 1}
+		c.byID[id] = e
+		at := sort.Search(len(c.engines), func(i int) bool { return c.engines[i].id > id })
+		c.engines = append(c.engines, nil)
+		copy(c.engines[at+1:], c.engines[at:])
+		c.engines[at] = e
+		for _, k := range c.set.Kinds {
+			if k.Name == kind {
+				e.cores, e.memoryMB = k.Cores, k.MemoryMB
+			}
+		}
+		c.startBound(e)
+	}
+	if since > e.since || (e.state != Up && health == Up) {
+		// Started anew: what was learned of the process is void, and a start is as good as a trial.
+		e.since = max(since, e.since)
+		e.suspected, e.errors, e.wait = false, 0, 0
+		c.startBound(e)
+	}
+	e.location, e.kind, e.cell, e.state, e.listed = location, kind, cell, health, true
+}
+
+func (c *Controller) ListEnds(now time.Duration) {
+	for _, e := range c.engines {
+		if c.whole && !e.listed {
+			e.state = Gone
+		}
+	}
+	c.release()
+}
+
+// startThreads is a thread and a half a core over all controllers: with half the work on disks about what keeps
+// the cores busy, and under the level from which work is lost.
+const startThreads = 1.5
+
+func (c *Controller) startBound(e *engine) {
+	e.slow = mean{}
+	e.bound = e.cores * startThreads / float64(max(1, c.set.Controllers))
+	if c.isCold(e) {
+		e.bound *= c.set.StartCapacity
+	}
+}
+
+// ---- jobs
+
+func (c *Controller) JobTaken(now time.Duration, id JobID, name TypeName, cust CustomerID, key Key,
+	expires, cost time.Duration, memory float64, tables Tables, repeat bool) {
+	c.now = now
+	r := c.byName[name]
+	if r == nil {
+		r = &row{Type: Type{Name: name, JobTimeout: expires - now, SLATime: expires - now, Repeat: RunOnce,
+			Threads: 1}}
+		c.rows, c.byName[name] = append(c.rows, r), r
+	}
+	c.seq++
+	j := &job{id: id, row: r, customer: c.custs[cust], seq: c.seq, taken: now, cost: float64(cost),
+		memory: memory, tables: tables, d: min(now+r.JobTimeout, expires)}
+	c.jobs[id] = j
+	c.taken = append(c.taken, now)
+	if r.Ordered && key != "" {
+		if c.lines[key] == nil {
+			c.lines[key] = &line{}
+		}
+		j.line = c.lines[key]
+		j.line.jobs = append(j.line.jobs, j)
+	}
+	if j.customer != nil && j.customer.JobsPerS > 0 {
+		j.over = !j.customer.admit(now, j.customer.JobsPerS/float64(max(1, c.set.Controllers)))
+	}
+	c.hold(j)
+	c.release()
+	c.shed()
+	if !c.ticking {
+		c.ticking = true
+		c.host.WakeAfter(sweepTimer, sweepEvery)
+	}
+}
+
+// admit takes one of the customer's tokens, which gather for a second, so that a short bunch is not over.
+func (cu *customer) admit(now time.Duration, perS float64) bool {
+	cu.tokens = math.Min(cu.tokens+perS*(now-cu.filled).Seconds(), math.Max(1, perS))
+	cu.filled = now
+	if cu.tokens < 1 {
+		return false
+	}
+	cu.tokens--
+	return true
+}
+
+// expect is E: told cost times learned latency per cost, or the type's mean latency; the SLA time before either.
+func (c *Controller) expect(j *job) time.Duration {
+	if j.row.unit.n == 0 {
+		return j.row.SLATime
+	}
+	return time.Duration(j.row.unit.value * j.unitCost())
+}
+
+func (j *job) unitCost() float64 {
+	if j.cost > 0 {
+		return j.cost / j.row.Threads
+	}
+	return 1
+}
+
+// sla is when the answer stops earning its full value.
+func (c *Controller) sla(j *job) time.Duration {
+	work := j.cost
+	if work == 0 {
+		work = j.row.best * j.row.Threads
+	}
+	return j.taken + j.row.SLATime + time.Duration(j.row.SLAStretch*work/j.row.Threads)
+}
+
+func (c *Controller) hold(j *job) {
+	j.slack = j.d - (c.now + c.expect(j))
+	j.out = nil
+	c.held = append(c.held, j)
+}
+
+func (c *Controller) unhold(j *job) {
+	for i, h := range c.held {
+		if h == j {
+			c.held = append(c.held[:i], c.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// turn tells the level at which a held job leaves; within a level the least slack goes first.
+// Exceptions to plain slack: a job about to miss its SLA time that can still make it goes before the others, since
+// with a static slack types of a long timeout would wait until they are worthless; one beyond its customer's
+// share, or too late for its SLA time, goes after them.
+func (c *Controller) turn(j *job) int {
+	left := c.sla(j) - c.now - c.expect(j)
+	switch {
+	case j.over || left < -c.expect(j)/2:
+		return 2
+	case left < j.row.SLATime/4:
+		return 0
+	}
+	return 1
+}
+
+// release sends held jobs, least slack first, while an engine has room. It is the only way to a dispatch.
+func (c *Controller) release() {
+	for c.anyRoom() {
+		var first *job
+		var to *engine
+		var level int
+		for _, j := range c.held {
+			l := c.turn(j)
+			if first != nil && (l > level || l == level && (j.slack > first.slack ||
+				j.slack == first.slack && j.seq > first.seq)) {
+				continue
+			}
+			if e := c.choose(j); e != nil {
+				first, to, level = j, e, l
+			}
+		}
+		if first == nil {
+			return
+		}
+		c.unhold(first)
+		c.send(first, to)
+	}
+}
+
+func (c *Controller) anyRoom() bool {
+	for _, e := range c.engines {
+		if e.state == Up && e.roomFor(1) {
+			return len(c.held) > 0
+		}
+	}
+	return false
+}
+
+// roomFor lets a wide job overlap the bound by half, or a narrow bound would never pass it.
+func (e *engine) roomFor(threads float64) bool {
+	return len(e.out) == 0 || e.threads+threads/2 <= e.bound
+}
+
+// choose gives the engine with most room among those that the rules and its health allow, or nil.
+func (c *Controller) choose(j *job) *engine {
+	if !c.mayLeave(j) {
+		return nil
+	}
+	var best *engine
+	var bestScore float64
+	ignoreHealth := c.mostSuspected()
+	for _, e := range c.engines {
+		if !e.roomFor(j.row.Threads) || !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
+			continue
+		}
+		if e.suspected && !ignoreHealth && (c.now < e.trial || len(e.out) > 0 || j.row.Repeat == RunOnce) {
+			continue
+		}
+		score := e.bound - e.threads + c.liking(j, e)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// liking weighs, in threads, what tells engines of nearly equal room apart.
+func (c *Controller) liking(j *job, e *engine) float64 {
+	like := 0.0
+	if e.location == c.set.Location {
+		like++ // one thread: crossing costs little, so only near-equals
+	}
+	if e == j.avoid {
+		like -= e.cores
+	}
+	if j.row.StandsBy || j.row.HoldsLoad {
+		for _, o := range e.out {
+			if o.row.HoldsLoad && o.tables == j.tables {
+				like -= e.cores // it would stand still there
+			}
+		}
+	}
+	// All controllers send the loads of a set of tables to the same engine, its home, and its readers elsewhere,
+	// with no word between them: readers then seldom stand behind another controller's load.
+	if home := c.home(j); home == e {
+		if j.row.HoldsLoad {
+			like += e.cores / 4
+		} else if j.row.StandsBy {
+			like -= e.cores / 4
+		}
+	}
+	return like
+}
+
+// home is the engine of a set of tables by highest random weight, the same at every controller.
+func (c *Controller) home(j *job) *engine {
+	var home *engine
+	var most uint64
+	for _, e := range c.engines {
+		if e.state != Up {
+			continue
+		}
+		h := uint64(14695981039346656037)
+		for i := 0; i < len(e.id); i++ {
+			h = (h ^ uint64(e.id[i])) * 1099511628211
+		}
+		h = (h ^ uint64(j.tables)) * 0x9E3779B97F4A7C15
+		h ^= h >> 29
+		h *= 0xBF58476D1CE4E5B9
+		h ^= h >> 32
+		if home == nil || h > most {
+			home, most = e, h
+		}
+	}
+	return home
+}
+
+// ---- the rules' guards, each in one place; release asks them all
+
+// mayLeave keeps rules 5 and 7 and the number of dispatches.
+func (c *Controller) mayLeave(j *job) bool {
+	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
+		return false
+	}
+	if j.sent > 0 && (j.sent >= c.set.MaxDispatches || !c.budgetAllows()) {
+		return false
+	}
+	return true
+}
+
+// budgetAllows keeps rule 7.
+func (c *Controller) budgetAllows() bool {
+	if c.set.BudgetWindow == 0 {
+		return true
+	}
+	from := c.now - c.set.BudgetWindow
+	for len(c.taken) > 0 && c.taken[0] <= from {
+		c.taken = c.taken[1:]
+	}
+	for len(c.further) > 0 && c.further[0] < from {
+		c.further = c.further[1:]
+	}
+	return float64(len(c.further)+1) <= c.set.BudgetFree+c.set.BudgetShare*float64(len(c.taken))
+}
+
+// mayGoTo keeps rules 2, 3 and 6 for a dispatch to one engine.
+func (c *Controller) mayGoTo(j *job, e *engine) bool {
+	if e.state != Up || !among(j.row.Locations, e.location) || !among(j.row.Kinds, e.kind) {
+		return false
+	}
+	for _, ran := range j.maybeRan {
+		switch j.row.Repeat {
+		case RunOnce:
+			return false
+		case Keyed:
+			// A tick inside the window, as the clock only moves by ticks.
+			if c.now > ran.sent+j.row.Window-c.set.Tick ||
+				j.row.Group == GroupLocation && ran.engine.location != e.location ||
+				j.row.Group == GroupCell && ran.engine.cell != e.cell {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func among[T comparable](allowed []T, x T) bool {
+	for _, a := range allowed {
+		if a == x {
+			return true
+		}
+	}
+	return len(allowed) == 0
+}
+
+func (c *Controller) isCold(e *engine) bool {
+	return e.since > 0 && c.set.Fall > 0 && c.now-e.since < c.set.Cold
+}
+
+// coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
+const coldShare = 0.6
+
+// coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, by its least
+// capacity, with cores counted at 85% busy as capacity is.
+func (c *Controller) coldAllows(j *job, e *engine) bool {
+	if !c.isCold(e) {
+		return true
+	}
+	for len(e.cold) > 0 && e.cold[0].at < c.now-c.set.Fall {
+		e.cold = e.cold[1:]
+	}
+	sum := c.usualWork(j)
+	for _, s := range e.cold {
+		sum += s.work
+	}
+	part := coldShare * c.set.FallMultiple * c.set.StartCapacity * 0.85 * e.cores / float64(max(1, c.set.Controllers))
+	return sum <= time.Duration(part*float64(c.set.Fall))
+}
+
+// usualWork is what rule 4 counts for a job: the usual work of its type.
+func (c *Controller) usualWork(j *job) time.Duration {
+	if j.row.work.n == 0 {
+		return time.Duration(float64(j.row.SLATime) * j.row.Threads)
+	}
+	return time.Duration(j.row.work.value)
+}
+
+// ---- sending
+
+func (c *Controller) send(j *job, e *engine) {
+	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), work: c.usualWork(j), noted: c.now}
+	if j.sent > 0 {
+		c.further = append(c.further, c.now)
+	}
+	d.memory = c.terms(j, e)
+	j.sent++
+	j.out = d
+	j.maybeRan = append(j.maybeRan, d)
+	e.out = append(e.out, j)
+	e.threads += j.row.Threads
+	e.granted += d.memory
+	e.cold = append(e.cold, sending{c.now, d.work})
+	if e.suspected {
+		e.trial = c.now + e.wait
+	}
+	c.host.Dispatch(j.id, e.id, max(j.d-c.now, 1))
+}
+
+// terms sets memory and priority. Where an overfull memory only counts what is needed, a generous grant costs
+// nothing and spares the spill; elsewhere the grant stays near the need.
+func (c *Controller) terms(j *job, e *engine) float64 {
+	if j.memory <= 0 || !c.set.GrantsCount {
+		return j.memory
+	}
+	need := j.memory
+	if j.row.memory.n > 0 {
+		need *= j.row.memory.value
+	}
+	grant := need * 1.25
+	if c.set.OverGrantsPage {
+		grant = need * 1.6
+	}
+	if c.set.GrantShare > 0 && e.memoryMB > 0 {
+		grant = math.Min(grant, c.set.GrantShare*e.memoryMB)
+	}
+	priority := 1
+	if c.set.PriorityHeeded && j.slack < c.expect(j) {
+		priority = 2
+	}
+	c.host.SetTerms(j.id, grant, priority)
+	return need
+}
+
+// ---- outcomes
+
+func (c *Controller) DispatchOver(now time.Duration, id JobID, n int, eid EngineID, o Outcome,
+	took time.Duration, over bool, work time.Duration, memory float64, load Load) {
+	c.now = now
+	j := c.jobs[id]
+	if j == nil || j.out == nil {
+		return
+	}
+	d := j.out
+	e := d.engine
+	j.out = nil
+	for i, other := range e.out {
+		if other == j {
+			e.out = append(e.out[:i], e.out[i+1:]...)
+			break
+		}
+	}
+	e.threads -= j.row.Threads
+	e.granted -= d.memory
+	if o == TurnedAway || o == NoConnection || o == NotSent {
+		j.maybeRan = j.maybeRan[:len(j.maybeRan)-1]
+	}
+	if o == NotSent && j.sent > 1 && len(c.further) > 0 {
+		c.further = c.further[:len(c.further)-1]
+	}
+	if j.line != nil && (o == TimedOut || o == ConnectionLost || o == Recalled) {
+		j.line.rests = now + c.set.KeyQuiet
+	}
+	c.judge(j, d, o)
+	if o == Done {
+		c.learn(j, d, took, work, memory)
+	}
+	switch {
+	case over || j.ended:
+		c.forget(j)
+	case j.ended || o == Done:
+		c.forget(j)
+	default:
+		j.avoid = e
+		c.again(j)
+	}
+	c.release()
+}
+
+// again holds a job for a further dispatch, or ends it at once where none can be.
+func (c *Controller) again(j *job) {
+	if j.sent >= c.set.MaxDispatches || j.d-c.now < c.expect(j)/2 || !c.couldGo(j) {
+		c.end(j)
+		return
+	}
+	c.hold(j)
+}
+
+func (c *Controller) couldGo(j *job) bool {
+	for _, e := range c.engines {
+		if c.mayGoTo(j, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// judge keeps an engine's health by its symptoms.
+func (c *Controller) judge(j *job, d *dispatch, o Outcome) {
+	e := d.engine
+	switch o {
+	case Done:
+		e.answered = c.now
+		e.errors *= 0.8
+		if e.suspected {
+			e.suspected, e.wait, e.errors = false, 0, 0
+			c.host.Log(fmt.Sprintf("engine %s answers again", e.id))
+		}
+	case Errored:
+		// Guards against an engine that fails jobs fast and so seems to have room: two errors in a row, or one
+		// in three of late, are far above what a sound engine shows.
+		e.answered = c.now
+		e.errors = e.errors*0.8 + 0.2
+		if e.errors > 0.35 || e.suspected {
+			c.suspect(e, "errors")
+		}
+	case NoConnection, ConnectionLost:
+		c.suspect(e, o.String())
+	case TurnedAway:
+		e.bound = math.Max(1, e.bound*0.7)
+	}
+}
+
+// suspect takes an engine out of choice but for one trial job after each of growing waits.
+func (c *Controller) suspect(e *engine, why string) {
+	if !e.suspected {
+		c.host.Log(fmt.Sprintf("engine %s suspected: %s", e.id, why))
+		e.wait = 250 * time.Millisecond
+	} else if c.now < e.trial-e.wait/2 && len(e.out) > 0 {
+		return // more of the same news
+	} else {
+		e.wait = min(2*e.wait, 4*time.Second)
+	}
+	e.suspected = true
+	e.trial = c.now + e.wait
+}
+
+// mostSuspected is when a cause common to the engines is likelier than as many faults; then all are used.
+func (c *Controller) mostSuspected() bool {
+	up, bad := 0, 0
+	for _, e := range c.engines {
+		if e.state == Up {
+			up++
+			if e.suspected {
+				bad++
+			}
+		}
+	}
+	return 3*bad > 2*up
+}
+
+// learnOver is how many jobs the running means span: seconds of a quick type.
+const learnOver = 60
+
+// learn takes in a done job: E, the usual work and memory, and the engine's bound.
+func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory float64) {
+	r := j.row
+	x := float64(took) / j.unitCost()
+	if r.unit.n > 5 {
+		x = math.Min(x, 4*r.unit.value) // one bad plan does not move the mean
+	}
+	r.unit.add(x, learnOver)
+	switch {
+	case work > 0:
+		r.work.add(float64(work), learnOver)
+	case j.cost > 0:
+		r.work.add(j.cost, learnOver)
+	default:
+		r.work.add(float64(took)*r.Threads, learnOver) // latency on all threads is no less than the work
+	}
+	if memory > 0 && j.memory > 0 {
+		r.memory.add(memory/j.memory, learnOver)
+	}
+	// The best latency is forgotten with a time of 60 s, or one lucky time would shrink every bound for good.
+	if r.unit.n >= 5 {
+		r.best *= math.Exp((c.now - r.bestAt).Seconds() / 60)
+		r.bestAt = c.now
+		if r.best == 0 || r.unit.value < r.best {
+			r.best = r.unit.value
+		}
+	}
+	if r.best == 0 {
+		return
+	}
+	e := d.engine
+	e.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), 4), 20)
+	c.fit(e, r.Threads)
+}
+
+// fit widens or shrinks an engine's bound.
+// Most is two threads a core: no mix gains beyond. Target is the slowness at which the bound stands still.
+func (c *Controller) fit(e *engine, threads float64) {
+	const target, most = 1.8, 2.0
+	step := threads / math.Max(e.bound, 1) // about a thread for each bound's worth of answers
+	switch {
+	case e.slow.value > target:
+		e.bound -= step
+	case e.threads+threads+1 >= e.bound:
+		e.bound += step
+	}
+	e.bound = math.Min(math.Max(e.bound, 1), most*e.cores)
+}
+
+// ---- ends
+
+// end gives the final answer: a throttling reply where it is true that a retry does no harm.
+func (c *Controller) end(j *job) {
+	c.unhold(j)
+	j.ended = true
+	safe := j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll
+	if safe {
+		c.host.Throttle(j.id, c.comeBack())
+	} else {
+		c.host.CancelForGood(j.id)
+	}
+	if j.out == nil {
+		c.forget(j)
+	}
+}
+
+// comeBack is the advised wait: the time that the held work takes.
+func (c *Controller) comeBack() time.Duration {
+	return min(c.set.MaxComeBack, time.Duration(c.drain()*float64(time.Second)))
+}
+
+func (c *Controller) forget(j *job) {
+	delete(c.jobs, j.id)
+	if j.line == nil {
+		return
+	}
+	for i, other := range j.line.jobs {
+		if other == j {
+			j.line.jobs = append(j.line.jobs[:i], j.line.jobs[i+1:]...)
+			break
+		}
+	}
+}
+
+func (c *Controller) ClientGone(now time.Duration, id JobID) {
+	c.now = now
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	j.ended = true
+	c.unhold(j)
+	if j.out == nil {
+		c.forget(j)
+	} else if c.set.MayRecall && !j.out.recalled && !j.out.begun {
+		c.recall(j)
+	}
+	c.release()
+}
+
+func (c *Controller) recall(j *job) {
+	j.out.recalled = true
+	c.host.Recall(j.id, j.sent-1)
+}
+
+// drain is the seconds that the held jobs keep all bounds busy.
+func (c *Controller) drain() float64 {
+	work, threads := 0.0, 0.0
+	for _, j := range c.held {
+		work += c.expect(j).Seconds() * j.row.Threads
+	}
+	for _, e := range c.engines {
+		if e.state == Up && !e.suspected {
+			threads += e.bound
+		}
+	}
+	return work / math.Max(threads, 1)
+}
+
+// shed refuses held jobs of least value for their thread time while more is held than leaves in useful time:
+// half the shortest SLA time.
+func (c *Controller) shed() {
+	limit := math.Inf(1)
+	for _, r := range c.rows {
+		limit = math.Min(limit, r.SLATime.Seconds())
+	}
+	for c.drain() > limit {
+		var worst *job
+		var least float64
+		for _, j := range c.held {
+			value := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
+			if j.over {
+				value *= c.set.OverShareValue
+			}
+			if worst == nil || value < least {
+				worst, least = j, value
+			}
+		}
+		c.end(worst)
+	}
+}
+
+// ---- time
+
+func (c *Controller) TimerDue(now time.Duration, t TimerID) {
+	c.now = now
+	if t == askTimer {
+		c.host.Follow(true)
+		return
+	}
+	c.sweep()
+	c.release()
+	c.ticking = len(c.jobs) > 0
+	if c.ticking {
+		c.host.WakeAfter(sweepTimer, sweepEvery)
+	}
+}
+
+// sweep refuses held jobs that are out of time and looks at those that are out.
+func (c *Controller) sweep() {
+	for _, j := range append([]*job(nil), c.held...) {
+		e := c.expect(j)
+		late := c.now+e > c.sla(j)+e/2 && j.row.LateValue == 0 && j.sent == 0
+		if j.d-c.now < max(e/2, 2*sweepEvery) || late {
+			c.end(j)
+		}
+	}
+	for _, e := range c.engines {
+		c.watch(e)
+	}
+}
+
+// watch guards against an engine that takes jobs and answers nothing, and against single jobs stuck there.
+func (c *Controller) watch(e *engine) {
+	overdue := 0
+	for _, j := range e.out {
+		if c.now-j.out.sent > 3*j.out.expected+500*time.Millisecond && j.out.sent > e.answered {
+			overdue++
+		}
+	}
+	if overdue >= 2 && !e.suspected {
+		c.suspect(e, "silence")
+	}
+	for _, j := range append([]*job(nil), e.out...) {
+		if j.ended || !c.set.MayRecall || j.out.recalled || j.out.begun || !c.stuck(j) {
+			continue
+		}
+		if j.sent < c.set.MaxDispatches && j.row.Repeat == Restartable && c.budgetAllows() {
+			c.recall(j)
+		}
+	}
+}
+
+// stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
+func (c *Controller) stuck(j *job) bool {
+	d := j.out
+	age, e := c.now-d.sent, d.expected
+	if j.d-c.now < e {
+		return false
+	}
+	if d.share > 0.02 {
+		left := float64(d.noted-d.sent)*(1-d.share)/d.share - float64(c.now-d.noted)
+		return left > 4*float64(e)
+	}
+	if j.cost == 0 {
+		e *= 2
+	}
+	return age > 3*e+300*time.Millisecond
+}
+
+// ---- further news
+
+func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
+	c.now = now
+	j := c.jobs[id]
+	if j == nil || j.out == nil || n != j.sent-1 {
+		return
+	}
+	switch topic {
+	case Progress:
+		j.out.share, j.out.noted = level, now
+	case Waiting:
+		j.out.standing = level == WaitsForLoad
+	}
+}
+
+func (c *Controller) AnswerBegun(now time.Duration, id JobID, n int, eid EngineID, took time.Duration) {
+	c.now = now
+	if j := c.jobs[id]; j != nil && j.out != nil {
+		j.out.begun = true
+	}
+}
+
+func (c *Controller) ProbeAnswered(now time.Duration, eid EngineID, o Outcome, took time.Duration, load Load) {
+	c.now = now // no probe is sent: answers tell as much and cost nothing
+}
+
+func (c *Controller) PeerTold(now time.Duration, from PeerID, message string) {
+	c.now = now // no peer is told anything
+}
