--- a/logic/logic.go
+++ b/logic/logic.go
@@ -543,7 +543,12 @@
 	if e.suspected {
 		e.trial = c.now + e.wait
 	}
-	c.host.Dispatch(j.id, e.id, max(j.d-c.now, 1))
+	until := j.d
+	if j.row.LateValue == 0 {
+		// A late answer earns nothing: an engine with too much to do is spared it.
+		until = min(until, c.sla(j)+d.expected/2)
+	}
+	c.host.Dispatch(j.id, e.id, max(until-c.now, 1))
 }
 
 // terms sets memory and priority. Where an overfull memory only counts what is needed, a generous grant costs
@@ -603,6 +608,10 @@
 	c.judge(j, d, o)
 	if o == Done {
 		c.learn(j, d, took, work, memory)
+	} else if o == TimedOut && took > d.expected {
+		// Guards against learning only from the jobs that a congested engine still answers.
+		e.slow.add(mostSlow, slowOver)
+		c.fit(e, j.row.Threads)
 	}
 	switch {
 	case over || j.ended:
@@ -618,7 +627,7 @@
 
 // again holds a job for a further dispatch, or ends it at once where none can be.
 func (c *Controller) again(j *job) {
-	if j.sent >= c.set.MaxDispatches || j.d-c.now < c.expect(j)/2 || !c.couldGo(j) {
+	if j.sent >= c.set.MaxDispatches || c.hopeless(j) || !c.couldGo(j) {
 		c.end(j)
 		return
 	}
@@ -688,6 +697,10 @@
 	return 3*bad > 2*up
 }
 
+// An answer counts at most as four times the best latency, so that a bad plan or a wait behind a load does not
+// shrink the bound by itself; the slowness spans about a bound's worth of answers.
+const mostSlow, slowOver = 4, 20
+
 // learnOver is how many jobs the running means span: seconds of a quick type.
 const learnOver = 60
 
@@ -711,33 +724,35 @@
 		r.memory.add(memory/j.memory, learnOver)
 	}
 	// The best latency is forgotten with a time of 60 s, or one lucky time would shrink every bound for good.
-	if r.unit.n >= 5 {
-		r.best *= math.Exp((c.now - r.bestAt).Seconds() / 60)
-		r.bestAt = c.now
+	if r.unit.n >= 30 {
+		// The clock starts anywhere: before the first there is nothing to forget.
+		if r.best > 0 {
+			r.best *= math.Exp((c.now - r.bestAt).Seconds() / 60)
+		}
 		if r.best == 0 || r.unit.value < r.best {
 			r.best = r.unit.value
 		}
+		r.bestAt = c.now
 	}
 	if r.best == 0 {
 		return
 	}
 	e := d.engine
-	e.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), 4), 20)
+	e.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), mostSlow), slowOver)
 	c.fit(e, r.Threads)
 }
 
 // fit widens or shrinks an engine's bound.
 // Most is two threads a core: no mix gains beyond. Target is the slowness at which the bound stands still.
 func (c *Controller) fit(e *engine, threads float64) {
-	const target, most = 1.8, 2.0
+	const target, least, most = 2.0, 0.25, 2.0
 	step := threads / math.Max(e.bound, 1) // about a thread for each bound's worth of answers
-	switch {
-	case e.slow.value > target:
-		e.bound -= step
-	case e.threads+threads+1 >= e.bound:
-		e.bound += step
+	push := math.Max(3*(target-e.slow.value)/target, -1)
+	if push < 0 || e.threads+threads+1 >= e.bound {
+		e.bound += step * math.Min(push, 1)
 	}
-	e.bound = math.Min(math.Max(e.bound, 1), most*e.cores)
+	n := float64(max(1, c.set.Controllers))
+	e.bound = math.Min(math.Max(e.bound, least*e.cores/n), most*e.cores*2/(1+n))
 }
 
 // ---- ends
@@ -852,9 +867,7 @@
 // sweep refuses held jobs that are out of time and looks at those that are out.
 func (c *Controller) sweep() {
 	for _, j := range append([]*job(nil), c.held...) {
-		e := c.expect(j)
-		late := c.now+e > c.sla(j)+e/2 && j.row.LateValue == 0 && j.sent == 0
-		if j.d-c.now < max(e/2, 2*sweepEvery) || late {
+		if c.hopeless(j) {
 			c.end(j)
 		}
 	}
@@ -863,6 +876,13 @@
 	}
 }
 
+// hopeless is the design's refusal, and its exception: where a late answer earns nothing, the SLA time stands
+// in the place of the deadline.
+func (c *Controller) hopeless(j *job) bool {
+	half := max(c.expect(j)/2, 2*sweepEvery)
+	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < half
+}
+
 // watch guards against an engine that takes jobs and answers nothing, and against single jobs stuck there.
 func (c *Controller) watch(e *engine) {
 	overdue := 0
