--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,60 +10,50 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"time"
 )
 
 // dispatch is the state of one sending of a job.
 type dispatch struct {
-	engine   *engine
-	sent     time.Duration
-	expected time.Duration // E when it was sent
-	work     time.Duration // usual work of the type, as rule 4 counts it
-	memory   float64
-	share    float64 // done, by the last note
-	noted    time.Duration
-	standing bool // a load holds its tables there
-	recalled bool
-	begun    bool // its answer has started and is the client's
+	engine          *engine
+	sent, expected  time.Duration // expected is E when it was sent
+	memory          float64
+	share           float64 // done, by the last note
+	noted           time.Duration
+	recalled, begun bool // begun: the answer has started and is the client's
 }
 
 // job is the state of a job until it is over and nothing of it is out.
 type job struct {
-	id       JobID
-	row      *row
-	customer *customer
-	line     *line
-	seq      int
-	taken    time.Duration
-	d        time.Duration // deadline
-	slack    time.Duration
-	cost     float64 // told cost in ns, or 0
-	memory   float64
-	tables   Tables
-	over     bool // beyond its customer's share
-	ended    bool // its final answer is given, or the client left
-	sent     int
-	maybeRan []*dispatch // dispatches that are out or may have run
-	out      *dispatch
-	avoid    *engine // where the last dispatch failed
+	id           JobID
+	row          *row
+	line         *line
+	seq, sent    int
+	taken, d     time.Duration // d is the deadline
+	slack        time.Duration
+	cost, memory float64 // as told, in ns and MB, or 0
+	tables       Tables
+	over         bool        // beyond its customer's share
+	ended        bool        // its final answer is given, or the client left
+	maybeRan     []*dispatch // dispatches that are out or may have run
+	out          *dispatch
+	avoid        *engine // where the last dispatch failed
 }
 
 // row is what differs by reservation type: its settings and what was learned of it.
 type row struct {
 	Type
-	unit   mean // latency per told cost, or latency where no cost is told
-	best   float64
+	unit   mean    // latency per told cost, or latency where no cost is told
+	best   float64 // least unit, slowly forgotten
 	bestAt time.Duration
 	work   mean // usual work in ns
 	memory mean // needed over told
 }
 
 // mean is a running mean that starts with plain averaging.
-type mean struct {
-	value float64
-	n     float64
-}
+type mean struct{ value, n float64 }
 
 func (m *mean) add(x, most float64) {
 	m.n = math.Min(m.n+1, most)
@@ -71,9 +61,8 @@
 }
 
 type customer struct {
-	Customer
-	tokens float64
-	filled time.Duration
+	tokens, perS float64
+	filled       time.Duration
 }
 
 // line is the order of the jobs of one key.
@@ -82,56 +71,49 @@
 	rests time.Duration
 }
 
-type sending struct {
-	at   time.Duration
-	work time.Duration
-}
+// sending is work sent to an engine, for rule 4.
+type sending struct{ at, work time.Duration }
 
 // engine is what this controller knows of an engine while it stays known.
 type engine struct {
-	id        EngineID
-	location  Location
-	kind      KindName
-	cell      Cell
-	state     Health
-	listed    bool // seen in the list being read
-	since     time.Duration
-	cores     float64
-	memoryMB  float64
-	bound     float64 // threads this controller may have there
-	slow      mean    // latency over the best
-	threads   float64
-	granted   float64
-	out       []*job
-	cold      []sending
-	errors    float64
-	answered  time.Duration // when an answer last came
-	suspected bool
-	trial     time.Duration // when a trial job may go
-	wait      time.Duration
+	id              EngineID
+	location        Location
+	kind            KindName
+	cell            Cell
+	state           Health
+	listed          bool // seen in the list being read
+	since           time.Duration
+	cores, memoryMB float64
+	bound, threads  float64 // threads this controller may have there, and has
+	slow            mean    // latency over the best
+	out             []*job
+	lately          []sending
+	errors          float64       // share of late
+	answered        time.Duration // when an answer last came
+	suspected       bool
+	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
 
 // Controller is one instance; it shares nothing with others.
 type Controller struct {
-	host    Host
-	set     Settings
-	rng     *rand.Rand
-	now     time.Duration
-	rows    []*row
-	byName  map[TypeName]*row
-	custs   map[CustomerID]*customer
-	engines []*engine // by id, so that no order depends on a map
-	byID    map[EngineID]*engine
-	jobs    map[JobID]*job
-	held    []*job
-	lines   map[Key]*line
-	taken   []time.Duration // rule 7: jobs taken and further dispatches in the window
-	further []time.Duration
-	seq     int
-	ticking bool
-	whole   bool
-	asked   time.Duration
-	backlog float64 // thread time that the held jobs should take
+	host      Host
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	rows      []*row
+	byName    map[TypeName]*row
+	customers map[CustomerID]*customer
+	engines   []*engine // by id, so that no order depends on a map
+	byID      map[EngineID]*engine
+	jobs      map[JobID]*job
+	held      []*job
+	lines     map[Key]*line
+	taken     []time.Duration // rule 7: jobs taken and further dispatches in the window
+	further   []time.Duration
+	seq       int
+	ticking   bool
+	whole     bool    // the list being read is a whole one
+	many      float64 // controllers
 }
 
 const (
@@ -144,15 +126,15 @@
 
 func New(host Host, settings Settings, seed int64) *Controller {
 	c := &Controller{host: host, set: settings, rng: rand.New(rand.NewSource(seed)),
-		byName: map[TypeName]*row{}, custs: map[CustomerID]*customer{}, byID: map[EngineID]*engine{},
-		jobs: map[JobID]*job{}, lines: map[Key]*line{}}
+		byName: map[TypeName]*row{}, customers: map[CustomerID]*customer{}, byID: map[EngineID]*engine{},
+		jobs: map[JobID]*job{}, lines: map[Key]*line{}, many: math.Max(1, float64(settings.Controllers))}
 	for _, t := range settings.Types {
 		r := &row{Type: t}
 		c.rows = append(c.rows, r)
 		c.byName[t.Name] = r
 	}
 	for _, cust := range settings.Customers {
-		c.custs[cust.Name] = &customer{Customer: cust}
+		c.customers[cust.Name] = &customer{perS: cust.JobsPerS / c.many}
 	}
 	return c
 }
@@ -183,9 +165,7 @@
 		e = &engine{id: id, since: since, cores: 1}
 		c.byID[id] = e
 		at := sort.Search(len(c.engines), func(i int) bool { return c.engines[i].id > id })
-		c.engines = append(c.engines, nil)
-		copy(c.engines[at+1:], c.engines[at:])
-		c.engines[at] = e
+		c.engines = slices.Insert(c.engines, at, e)
 		for _, k := range c.set.Kinds {
 			if k.Name == kind {
 				e.cores, e.memoryMB = k.Cores, k.MemoryMB
@@ -217,7 +197,7 @@
 
 func (c *Controller) startBound(e *engine) {
 	e.slow = mean{}
-	e.bound = e.cores * startThreads / float64(max(1, c.set.Controllers))
+	e.bound = e.cores * startThreads / c.many
 	if c.isCold(e) {
 		e.bound *= c.set.StartCapacity
 	}
@@ -235,8 +215,8 @@
 		c.rows, c.byName[name] = append(c.rows, r), r
 	}
 	c.seq++
-	j := &job{id: id, row: r, customer: c.custs[cust], seq: c.seq, taken: now, cost: float64(cost),
-		memory: memory, tables: tables, d: min(now+r.JobTimeout, expires)}
+	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
+		d: min(now+r.JobTimeout, expires)}
 	c.jobs[id] = j
 	c.taken = append(c.taken, now)
 	if r.Ordered && key != "" {
@@ -246,10 +226,14 @@
 		j.line = c.lines[key]
 		j.line.jobs = append(j.line.jobs, j)
 	}
-	if j.customer != nil && j.customer.JobsPerS > 0 {
-		j.over = !j.customer.admit(now, j.customer.JobsPerS/float64(max(1, c.set.Controllers)))
+	if from := c.customers[cust]; from != nil && from.perS > 0 {
+		j.over = !from.admit(now)
 	}
 	c.hold(j)
+	if c.hopeless(j) { // as one that expires on arrival
+		c.end(j)
+		return
+	}
 	c.release()
 	c.shed()
 	if !c.ticking {
@@ -259,8 +243,8 @@
 }
 
 // admit takes one of the customer's tokens, which gather for a second, so that a short bunch is not over.
-func (cu *customer) admit(now time.Duration, perS float64) bool {
-	cu.tokens = math.Min(cu.tokens+perS*(now-cu.filled).Seconds(), math.Max(1, perS))
+func (cu *customer) admit(now time.Duration) bool {
+	cu.tokens = math.Min(cu.tokens+cu.perS*(now-cu.filled).Seconds(), math.Max(1, cu.perS))
 	cu.filled = now
 	if cu.tokens < 1 {
 		return false
@@ -274,7 +258,8 @@
 	if j.row.unit.n == 0 {
 		return j.row.SLATime
 	}
-	return time.Duration(j.row.unit.value * j.unitCost())
+	// A learned time must never refuse every job, or no outcome would correct it.
+	return min(time.Duration(j.row.unit.value*j.unitCost()), j.row.JobTimeout)
 }
 
 func (j *job) unitCost() float64 {
@@ -299,13 +284,9 @@
 	c.held = append(c.held, j)
 }
 
-func (c *Controller) unhold(j *job) {
-	for i, h := range c.held {
-		if h == j {
-			c.held = append(c.held[:i], c.held[i+1:]...)
-			return
-		}
-	}
+// without takes a job out of a list.
+func without(list []*job, j *job) []*job {
+	return slices.DeleteFunc(list, func(other *job) bool { return other == j })
 }
 
 // turn tells the level at which a held job leaves; within a level the least slack goes first.
@@ -342,7 +323,7 @@
 		if first == nil {
 			return
 		}
-		c.unhold(first)
+		c.held = without(c.held, first)
 		c.send(first, to)
 	}
 }
@@ -465,7 +446,8 @@
 
 // mayGoTo keeps rules 2, 3 and 6 for a dispatch to one engine.
 func (c *Controller) mayGoTo(j *job, e *engine) bool {
-	if e.state != Up || !among(j.row.Locations, e.location) || !among(j.row.Kinds, e.kind) {
+	if e.state != Up || len(j.row.Locations) > 0 && !slices.Contains(j.row.Locations, e.location) ||
+		len(j.row.Kinds) > 0 && !slices.Contains(j.row.Kinds, e.kind) {
 		return false
 	}
 	for _, ran := range j.maybeRan {
@@ -484,15 +466,6 @@
 	return true
 }
 
-func among[T comparable](allowed []T, x T) bool {
-	for _, a := range allowed {
-		if a == x {
-			return true
-		}
-	}
-	return len(allowed) == 0
-}
-
 func (c *Controller) isCold(e *engine) bool {
 	return e.since > 0 && c.set.Fall > 0 && c.now-e.since < c.set.Cold
 }
@@ -506,14 +479,14 @@
 	if !c.isCold(e) {
 		return true
 	}
-	for len(e.cold) > 0 && e.cold[0].at < c.now-c.set.Fall {
-		e.cold = e.cold[1:]
+	for len(e.lately) > 0 && e.lately[0].at < c.now-c.set.Fall {
+		e.lately = e.lately[1:]
 	}
 	sum := c.usualWork(j)
-	for _, s := range e.cold {
+	for _, s := range e.lately {
 		sum += s.work
 	}
-	part := coldShare * c.set.FallMultiple * c.set.StartCapacity * 0.85 * e.cores / float64(max(1, c.set.Controllers))
+	part := coldShare * c.set.FallMultiple * c.set.StartCapacity * 0.85 * e.cores / c.many
 	return sum <= time.Duration(part*float64(c.set.Fall))
 }
 
@@ -528,18 +501,16 @@
 // ---- sending
 
 func (c *Controller) send(j *job, e *engine) {
-	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), work: c.usualWork(j), noted: c.now}
+	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now, memory: c.terms(j, e)}
 	if j.sent > 0 {
 		c.further = append(c.further, c.now)
 	}
-	d.memory = c.terms(j, e)
 	j.sent++
 	j.out = d
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
-	e.granted += d.memory
-	e.cold = append(e.cold, sending{c.now, d.work})
+	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
 	if e.suspected {
 		e.trial = c.now + e.wait
 	}
@@ -588,14 +559,8 @@
 	d := j.out
 	e := d.engine
 	j.out = nil
-	for i, other := range e.out {
-		if other == j {
-			e.out = append(e.out[:i], e.out[i+1:]...)
-			break
-		}
-	}
+	e.out = without(e.out, j)
 	e.threads -= j.row.Threads
-	e.granted -= d.memory
 	if o == TurnedAway || o == NoConnection || o == NotSent {
 		j.maybeRan = j.maybeRan[:len(j.maybeRan)-1]
 	}
@@ -613,34 +578,22 @@
 		e.slow.add(mostSlow, slowOver)
 		c.fit(e, j.row.Threads)
 	}
+	j.avoid = e
 	switch {
-	case over || j.ended:
-		c.forget(j)
-	case j.ended || o == Done:
+	case over || j.ended || o == Done:
 		c.forget(j)
+	case c.hopeless(j) || !c.couldGo(j):
+		c.end(j)
 	default:
-		j.avoid = e
-		c.again(j)
+		c.hold(j)
 	}
 	c.release()
 }
 
-// again holds a job for a further dispatch, or ends it at once where none can be.
-func (c *Controller) again(j *job) {
-	if j.sent >= c.set.MaxDispatches || c.hopeless(j) || !c.couldGo(j) {
-		c.end(j)
-		return
-	}
-	c.hold(j)
-}
-
+// couldGo tells whether a further dispatch is possible at all.
 func (c *Controller) couldGo(j *job) bool {
-	for _, e := range c.engines {
-		if c.mayGoTo(j, e) {
-			return true
-		}
-	}
-	return false
+	return j.sent < c.set.MaxDispatches &&
+		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
 }
 
 // judge keeps an engine's health by its symptoms.
@@ -751,18 +704,16 @@
 	if push < 0 || e.threads+threads+1 >= e.bound {
 		e.bound += step * math.Min(push, 1)
 	}
-	n := float64(max(1, c.set.Controllers))
-	e.bound = math.Min(math.Max(e.bound, least*e.cores/n), most*e.cores*2/(1+n))
+	e.bound = math.Min(math.Max(e.bound, least*e.cores/c.many), most*e.cores*2/(1+c.many))
 }
 
 // ---- ends
 
 // end gives the final answer: a throttling reply where it is true that a retry does no harm.
 func (c *Controller) end(j *job) {
-	c.unhold(j)
+	c.held = without(c.held, j)
 	j.ended = true
-	safe := j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll
-	if safe {
+	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
 		c.host.Throttle(j.id, c.comeBack())
 	} else {
 		c.host.CancelForGood(j.id)
@@ -779,14 +730,8 @@
 
 func (c *Controller) forget(j *job) {
 	delete(c.jobs, j.id)
-	if j.line == nil {
-		return
-	}
-	for i, other := range j.line.jobs {
-		if other == j {
-			j.line.jobs = append(j.line.jobs[:i], j.line.jobs[i+1:]...)
-			break
-		}
+	if j.line != nil {
+		j.line.jobs = without(j.line.jobs, j)
 	}
 }
 
@@ -797,18 +742,20 @@
 		return
 	}
 	j.ended = true
-	c.unhold(j)
+	c.held = without(c.held, j)
 	if j.out == nil {
 		c.forget(j)
-	} else if c.set.MayRecall && !j.out.recalled && !j.out.begun {
+	} else {
 		c.recall(j)
 	}
 	c.release()
 }
 
 func (c *Controller) recall(j *job) {
-	j.out.recalled = true
-	c.host.Recall(j.id, j.sent-1)
+	if c.set.MayRecall && !j.out.recalled && !j.out.begun {
+		j.out.recalled = true
+		c.host.Recall(j.id, j.sent-1)
+	}
 }
 
 // drain is the seconds that the held jobs keep all bounds busy.
@@ -866,7 +813,7 @@
 
 // sweep refuses held jobs that are out of time and looks at those that are out.
 func (c *Controller) sweep() {
-	for _, j := range append([]*job(nil), c.held...) {
+	for _, j := range slices.Clone(c.held) {
 		if c.hopeless(j) {
 			c.end(j)
 		}
@@ -880,7 +827,7 @@
 // in the place of the deadline.
 func (c *Controller) hopeless(j *job) bool {
 	half := max(c.expect(j)/2, 2*sweepEvery)
-	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < half
+	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < min(half, j.row.SLATime/2)
 }
 
 // watch guards against an engine that takes jobs and answers nothing, and against single jobs stuck there.
@@ -894,11 +841,8 @@
 	if overdue >= 2 && !e.suspected {
 		c.suspect(e, "silence")
 	}
-	for _, j := range append([]*job(nil), e.out...) {
-		if j.ended || !c.set.MayRecall || j.out.recalled || j.out.begun || !c.stuck(j) {
-			continue
-		}
-		if j.sent < c.set.MaxDispatches && j.row.Repeat == Restartable && c.budgetAllows() {
+	for _, j := range e.out {
+		if !j.ended && c.stuck(j) && j.row.Repeat != RunOnce && c.couldGo(j) && c.budgetAllows() {
 			c.recall(j)
 		}
 	}
@@ -929,25 +873,21 @@
 	if j == nil || j.out == nil || n != j.sent-1 {
 		return
 	}
-	switch topic {
-	case Progress:
+	if topic == Progress {
 		j.out.share, j.out.noted = level, now
-	case Waiting:
-		j.out.standing = level == WaitsForLoad
 	}
 }
 
 func (c *Controller) AnswerBegun(now time.Duration, id JobID, n int, eid EngineID, took time.Duration) {
 	c.now = now
-	if j := c.jobs[id]; j != nil && j.out != nil {
+	if j := c.jobs[id]; j != nil && j.out != nil && n == j.sent-1 {
 		j.out.begun = true
 	}
 }
 
-func (c *Controller) ProbeAnswered(now time.Duration, eid EngineID, o Outcome, took time.Duration, load Load) {
-	c.now = now // no probe is sent: answers tell as much and cost nothing
-}
+// No probe is sent, as answers tell as much and cost nothing, and peers are told nothing.
 
-func (c *Controller) PeerTold(now time.Duration, from PeerID, message string) {
-	c.now = now // no peer is told anything
+func (c *Controller) ProbeAnswered(now time.Duration, id EngineID, o Outcome, took time.Duration, load Load) {
 }
+
+func (c *Controller) PeerTold(now time.Duration, from PeerID, message string) {}
