--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,9 @@
 // and each exception to it. Every dispatch leaves through release, whose guards keep the rules.
 
 import (
+	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -39,7 +41,7 @@
 	ended        bool        // its final answer is given, or the client left
 	maybeRan     []*dispatch // dispatches that are out or may have run
 	out          *dispatch
-	avoid        *engine // where the last dispatch failed
+	avoid, home  *engine // where the last dispatch failed, and that of its tables
 }
 
 // row is what differs by reservation type: its settings and what was learned of it.
@@ -280,7 +282,7 @@
 
 func (c *Controller) hold(j *job) {
 	j.slack = j.d - (c.now + c.expect(j))
-	j.out = nil
+	j.out, j.home = nil, c.home(j.tables)
 	c.held = append(c.held, j)
 }
 
@@ -329,12 +331,8 @@
 }
 
 func (c *Controller) anyRoom() bool {
-	for _, e := range c.engines {
-		if e.state == Up && e.roomFor(1) {
-			return len(c.held) > 0
-		}
-	}
-	return false
+	room := func(e *engine) bool { return e.state == Up && e.roomFor(1) }
+	return len(c.held) > 0 && slices.ContainsFunc(c.engines, room)
 }
 
 // roomFor lets a wide job overlap the bound by half, or a narrow bound would never pass it.
@@ -383,34 +381,23 @@
 	}
 	// All controllers send the loads of a set of tables to the same engine, its home, and its readers elsewhere,
 	// with no word between them: readers then seldom stand behind another controller's load.
-	if home := c.home(j); home == e {
-		if j.row.HoldsLoad {
-			like += e.cores / 4
-		} else if j.row.StandsBy {
-			like -= e.cores / 4
-		}
+	if j.home == e && j.row.HoldsLoad {
+		like += e.cores / 4
+	} else if j.home == e && j.row.StandsBy {
+		like -= e.cores / 4
 	}
 	return like
 }
 
 // home is the engine of a set of tables by highest random weight, the same at every controller.
-func (c *Controller) home(j *job) *engine {
+func (c *Controller) home(tables Tables) *engine {
 	var home *engine
 	var most uint64
 	for _, e := range c.engines {
-		if e.state != Up {
-			continue
-		}
-		h := uint64(14695981039346656037)
-		for i := 0; i < len(e.id); i++ {
-			h = (h ^ uint64(e.id[i])) * 1099511628211
-		}
-		h = (h ^ uint64(j.tables)) * 0x9E3779B97F4A7C15
-		h ^= h >> 29
-		h *= 0xBF58476D1CE4E5B9
-		h ^= h >> 32
-		if home == nil || h > most {
-			home, most = e, h
+		h := fnv.New64a()
+		fmt.Fprintf(h, "%d %s %d", tables, e.id, tables)
+		if sum := h.Sum64(); e.state == Up && (home == nil || sum > most) {
+			home, most = e, sum
 		}
 	}
 	return home
@@ -421,12 +408,9 @@
 // mayLeave keeps rules 5 and 7 and the number of dispatches.
 func (c *Controller) mayLeave(j *job) bool {
 	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
-		return false
+		return false // the one that has the turn may go again without the rest
 	}
-	if j.sent > 0 && (j.sent >= c.set.MaxDispatches || !c.budgetAllows()) {
-		return false
-	}
-	return true
+	return j.sent == 0 || j.sent < c.set.MaxDispatches && c.budgetAllows()
 }
 
 // budgetAllows keeps rule 7.
@@ -556,8 +540,7 @@
 	if j == nil || j.out == nil {
 		return
 	}
-	d := j.out
-	e := d.engine
+	d, e := j.out, j.out.engine
 	j.out = nil
 	e.out = without(e.out, j)
 	e.threads -= j.row.Threads
@@ -592,8 +575,8 @@
 
 // couldGo tells whether a further dispatch is possible at all.
 func (c *Controller) couldGo(j *job) bool {
-	return j.sent < c.set.MaxDispatches &&
-		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
+	may := func(e *engine) bool { return c.mayGoTo(j, e) }
+	return j.sent < c.set.MaxDispatches && slices.ContainsFunc(c.engines, may)
 }
 
 // judge keeps an engine's health by its symptoms.
@@ -642,9 +625,9 @@
 	for _, e := range c.engines {
 		if e.state == Up {
 			up++
-			if e.suspected {
-				bad++
-			}
+		}
+		if e.state == Up && e.suspected {
+			bad++
 		}
 	}
 	return 3*bad > 2*up
@@ -714,7 +697,8 @@
 	c.held = without(c.held, j)
 	j.ended = true
 	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
-		c.host.Throttle(j.id, c.comeBack())
+		// The advised wait is the time that the held work takes.
+		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(c.drain()*float64(time.Second))))
 	} else {
 		c.host.CancelForGood(j.id)
 	}
@@ -723,11 +707,6 @@
 	}
 }
 
-// comeBack is the advised wait: the time that the held work takes.
-func (c *Controller) comeBack() time.Duration {
-	return min(c.set.MaxComeBack, time.Duration(c.drain()*float64(time.Second)))
-}
-
 func (c *Controller) forget(j *job) {
 	delete(c.jobs, j.id)
 	if j.line != nil {
@@ -772,26 +751,22 @@
 	return work / math.Max(threads, 1)
 }
 
-// shed refuses held jobs of least value for their thread time while more is held than leaves in useful time:
-// half the shortest SLA time.
+// shed refuses held jobs of least value for their thread time while more is held than leaves in useful time,
+// the shortest SLA time.
 func (c *Controller) shed() {
 	limit := math.Inf(1)
 	for _, r := range c.rows {
 		limit = math.Min(limit, r.SLATime.Seconds())
 	}
-	for c.drain() > limit {
-		var worst *job
-		var least float64
-		for _, j := range c.held {
-			value := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
-			if j.over {
-				value *= c.set.OverShareValue
-			}
-			if worst == nil || value < least {
-				worst, least = j, value
-			}
+	value := func(j *job) float64 {
+		v := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
+		if j.over {
+			v *= c.set.OverShareValue
 		}
-		c.end(worst)
+		return v
+	}
+	for c.drain() > limit {
+		c.end(slices.MinFunc(c.held, func(a, b *job) int { return cmp.Compare(value(a), value(b)) }))
 	}
 }
 
