--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,7 +559,7 @@
 	} else if o == TimedOut && took > d.expected {
 		// Guards against learning only from the jobs that a congested engine still answers.
 		e.slow.add(mostSlow, slowOver)
-		c.fit(e, j.row.Threads)
+		c.fit(e, j)
 	}
 	j.avoid = e
 	switch {
@@ -675,16 +675,23 @@
 	}
 	e := d.engine
 	e.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), mostSlow), slowOver)
-	c.fit(e, r.Threads)
+	c.fit(e, j)
 }
 
 // fit widens or shrinks an engine's bound.
-// Most is two threads a core: no mix gains beyond. Target is the slowness at which the bound stands still.
-func (c *Controller) fit(e *engine, threads float64) {
-	const target, least, most = 2.0, 0.25, 2.0
-	step := threads / math.Max(e.bound, 1) // about a thread for each bound's worth of answers
+// Target is the slowness at which the bound stands still: at 1.6 an engine is busy and not yet thrashing; where
+// no cost is told the best mean is a lucky one and lies lower by about a quarter. Least keeps a slow engine
+// tried; most is two threads a core for a single controller, as no mix gains beyond, and up to twice that for
+// many, since their traffic may be uneven.
+func (c *Controller) fit(e *engine, j *job) {
+	const least, most = 0.25, 2.0
+	target := 1.6
+	if j.cost == 0 {
+		target = 2.0
+	}
+	step := j.row.Threads / math.Max(e.bound, 1) // about a thread for each bound's worth of answers
 	push := math.Max(3*(target-e.slow.value)/target, -1)
-	if push < 0 || e.threads+threads+1 >= e.bound {
+	if push < 0 || e.threads+j.row.Threads+1 >= e.bound {
 		e.bound += step * math.Min(push, 1)
 	}
 	e.bound = math.Min(math.Max(e.bound, least*e.cores/c.many), most*e.cores*2/(1+c.many))
@@ -765,7 +772,7 @@
 		}
 		return v
 	}
-	for c.drain() > limit {
+	for len(c.held) > 1 && c.drain() > limit {
 		c.end(slices.MinFunc(c.held, func(a, b *job) int { return cmp.Compare(value(a), value(b)) }))
 	}
 }
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,164 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func TestRules(t *testing.T) {
+	run(t, "least_slack", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.fill("a", 0)
+		h.take("long", "report", "", 20*time.Second)
+		h.take("quick", "lookup", "", 5*time.Second)
+		h.take("tighter", "lookup", "", 4*time.Second)
+		h.after(100 * ms)
+		h.over("fill", 0, "a", Done)
+		h.over("tighter", 0, "a", Done)
+	})
+	run(t, "rule1_expired_on_arrival", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.take("late", "lookup", "", 0)
+		h.after(40 * ms)
+	})
+	run(t, "rule1_client_leaves", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.take("j", "report", "", 20*time.Second)
+		h.c.ClientGone(h.now, "j")
+		h.over("j", 0, "a", Recalled)
+		h.after(100 * ms)
+	})
+	run(t, "rule1_deadline_while_out", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.take("j", "report", "", 3*time.Second)
+		h.after(3 * time.Second)
+		h.over("j", 0, "a", TimedOut)
+		h.c.ClientGone(h.now, "j")
+	})
+	run(t, "rule2_run_once", func(h *bench) {
+		h.start(nil)
+		h.up("a", "b")
+		h.take("refused", "once", "", 9*time.Second)
+		h.over("refused", 0, "a", NoConnection)
+		h.take("ran", "once", "", 9*time.Second)
+		h.over("ran", 0, "b", Errored)
+	})
+	run(t, "rule2_keyed_window", func(h *bench) {
+		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.up("a")
+		h.take("inside", "load", "", 20*time.Second)
+		h.over("inside", 0, "a", ConnectionLost)
+		h.over("inside", 1, "a", Done)
+		h.take("outside", "load", "", 20*time.Second)
+		h.after(4 * time.Second)
+		h.over("outside", 0, "a", ConnectionLost)
+		h.take("other-cell", "load", "", 20*time.Second)
+		h.list("a", Gone, 0)
+		h.up("bb")
+		h.over("other-cell", 0, "a", ConnectionLost)
+	})
+	run(t, "rule3_drain", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.list("a", Draining, 0)
+		h.take("j", "lookup", "", 5*time.Second)
+		h.after(1200 * ms)
+	})
+	run(t, "rule4_cold", func(h *bench) {
+		h.start(nil)
+		h.list("a", Up, h.now-time.Second)
+		h.take("more than a cold engine's part", "report", "", 20*time.Second)
+		h.take("in its part", "lookup", "", 5*time.Second)
+		h.over("in its part", 0, "a", Done)
+		h.after(9200 * ms)
+	})
+	run(t, "rule5_order", func(h *bench) {
+		h.start(nil)
+		h.up("a", "b")
+		h.take("first", "load", "t", 20*time.Second)
+		h.take("second", "load", "t", 20*time.Second)
+		h.take("other", "load", "u", 20*time.Second)
+		h.over("first", 0, "a", TimedOut)
+		h.over("first", 1, "a", Done)
+		h.after(200 * ms)
+		h.after(200 * ms)
+	})
+	run(t, "rule6_placement", func(h *bench) {
+		h.start(func(s *Settings) { s.Types[0].Locations = []Location{"there"} })
+		h.up("a", "b")
+		h.take("j", "lookup", "", 5*time.Second)
+		h.after(1200 * ms)
+	})
+	run(t, "rule7_budget", func(h *bench) {
+		h.start(func(s *Settings) { s.BudgetWindow, s.BudgetFree = 5*time.Second, 1 })
+		h.up("a", "b")
+		h.take("j", "lookup", "", 5*time.Second)
+		h.over("j", 0, "a", TurnedAway)
+		h.over("j", 1, "b", TurnedAway)
+		h.after(1200 * ms)
+	})
+}
+
+func TestFailures(t *testing.T) {
+	run(t, "clock_far_from_zero", func(h *bench) {
+		h.now += 200 * time.Hour
+		h.start(nil)
+		h.up("a")
+		h.learn("a", 40)
+		h.take("j", "lookup", "", 5*time.Second)
+	})
+	run(t, "fast_errors", func(h *bench) {
+		h.start(nil)
+		h.up("a", "b")
+		h.take("1", "report", "", 20*time.Second)
+		h.over("1", 0, "a", Errored)
+		h.over("1", 1, "b", Done)
+		h.take("2", "report", "", 20*time.Second)
+		h.over("2", 0, "a", Errored)
+		h.take("3", "report", "", 20*time.Second)
+	})
+	run(t, "connection_lost_then_trial", func(h *bench) {
+		h.start(nil)
+		h.up("a", "b")
+		h.take("1", "report", "", 20*time.Second)
+		h.over("1", 0, "a", ConnectionLost)
+		h.take("2", "lookup", "", 5*time.Second)
+		h.after(300 * ms)
+		h.take("3", "lookup", "", 5*time.Second)
+		h.over("3", 0, "a", Done)
+	})
+	run(t, "stuck_job_recalled", func(h *bench) {
+		h.start(nil)
+		h.up("a", "b")
+		h.learn("a", 40)
+		h.take("j", "report", "", 20*time.Second)
+		h.after(8 * time.Second)
+		h.over("j", 0, "a", Recalled)
+	})
+	run(t, "overload_sheds_least_value", func(h *bench) {
+		h.start(nil)
+		h.up("a")
+		h.fill("a", 0)
+		for _, id := range []JobID{"r1", "r2", "l1", "r3", "l2", "r4"} {
+			if id[0] == 'r' {
+				h.take(id, "report", "", 20*time.Second)
+			} else {
+				h.take(id, "lookup", "", 5*time.Second)
+			}
+		}
+	})
+	run(t, "list_refused", func(h *bench) {
+		h.start(func(s *Settings) { s.ListOnRequest = true })
+		h.c.ListBegins(h.now, ListRemembered)
+		h.c.ListEnds(h.now)
+		h.c.ListBegins(h.now, ListRefused)
+		h.c.ListEnds(h.now)
+		h.after(time.Second)
+	})
+}
