A cold engine gets nine tenths of this controller's part and a full first bound

Cause: after a room or several engines came back, the held-back first bound and a usual work taken from congested latency kept them idle.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -200,9 +200,6 @@
 func (c *Controller) startBound(e *engine) {
 	e.slow = mean{}
 	e.bound = e.cores * startThreads / c.many
-	if c.isCold(e) {
-		e.bound *= c.set.StartCapacity
-	}
 }
 
 // ---- jobs
@@ -455,7 +452,7 @@
 }
 
 // coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
-const coldShare = 0.6
+const coldShare = 0.9
 
 // coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, by its least
 // capacity, with cores counted at 85% busy as capacity is.
@@ -653,8 +650,10 @@
 		r.work.add(float64(work), learnOver)
 	case j.cost > 0:
 		r.work.add(j.cost, learnOver)
+	case r.best > 0:
+		r.work = mean{r.best * r.Threads, 1} // the best latency, on all threads
 	default:
-		r.work.add(float64(took)*r.Threads, learnOver) // latency on all threads is no less than the work
+		r.work.add(float64(took)*r.Threads, learnOver)
 	}
 	if memory > 0 && j.memory > 0 {
 		r.memory.add(memory/j.memory, learnOver)
