--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,6 +92,7 @@
 	lately          []sending
 	errors          float64       // share of late
 	answered        time.Duration // when an answer last came
+	silent          int           // dispatches that ended without one since
 	suspected       bool
 	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
@@ -581,7 +582,7 @@
 	e := d.engine
 	switch o {
 	case Done:
-		e.answered = c.now
+		e.answered, e.silent = c.now, 0
 		e.errors *= 0.8
 		if e.suspected {
 			e.suspected, e.wait, e.errors = false, 0, 0
@@ -590,11 +591,19 @@
 	case Errored:
 		// Guards against an engine that fails jobs fast and so seems to have room: two errors in a row, or one
 		// in three of late, are far above what a sound engine shows.
-		e.answered = c.now
+		e.answered, e.silent = c.now, 0
 		e.errors = e.errors*0.8 + 0.2
 		if e.errors > 0.35 || e.suspected {
 			c.suspect(e, "errors")
 		}
+	case TimedOut, Recalled:
+		// Guards against an engine that takes jobs and answers none: three ended without an answer, all sent
+		// since the last one. Jobs that merely stand behind a load have others answered around them.
+		if d.sent > e.answered && !j.ended {
+			if e.silent++; e.silent >= 3 {
+				c.suspect(e, "silence")
+			}
+		}
 	case NoConnection, ConnectionLost:
 		c.suspect(e, o.String())
 	case TurnedAway:
@@ -800,7 +809,11 @@
 		}
 	}
 	for _, e := range c.engines {
-		c.watch(e)
+		for _, j := range e.out {
+			if !j.ended && c.stuck(j) && j.row.Repeat != RunOnce && c.couldGo(j) && c.budgetAllows() {
+				c.recall(j)
+			}
+		}
 	}
 }
 
@@ -811,24 +824,6 @@
 	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < min(half, j.row.SLATime/2)
 }
 
-// watch guards against an engine that takes jobs and answers nothing, and against single jobs stuck there.
-func (c *Controller) watch(e *engine) {
-	overdue := 0
-	for _, j := range e.out {
-		if c.now-j.out.sent > 3*j.out.expected+500*time.Millisecond && j.out.sent > e.answered {
-			overdue++
-		}
-	}
-	if overdue >= 2 && !e.suspected {
-		c.suspect(e, "silence")
-	}
-	for _, j := range e.out {
-		if !j.ended && c.stuck(j) && j.row.Repeat != RunOnce && c.couldGo(j) && c.budgetAllows() {
-			c.recall(j)
-		}
-	}
-}
-
 // stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d := j.out
