--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -41,7 +40,7 @@
 	ended        bool        // its final answer is given, or the client left
 	maybeRan     []*dispatch // dispatches that are out or may have run
 	out          *dispatch
-	avoid, home  *engine // where the last dispatch failed, and that of its tables
+	avoid        *engine // where the last dispatch failed
 }
 
 // row is what differs by reservation type: its settings and what was learned of it.
@@ -280,7 +279,7 @@
 
 func (c *Controller) hold(j *job) {
 	j.slack = j.d - (c.now + c.expect(j))
-	j.out, j.home = nil, c.home(j.tables)
+	j.out = nil
 	c.held = append(c.held, j)
 }
 
@@ -377,30 +376,9 @@
 			}
 		}
 	}
-	// All controllers send the loads of a set of tables to the same engine, its home, and its readers elsewhere,
-	// with no word between them: readers then seldom stand behind another controller's load.
-	if j.home == e && j.row.HoldsLoad {
-		like += e.cores / 4
-	} else if j.home == e && j.row.StandsBy {
-		like -= e.cores / 4
-	}
 	return like
 }
 
-// home is the engine of a set of tables by highest random weight, the same at every controller.
-func (c *Controller) home(tables Tables) *engine {
-	var home *engine
-	var most uint64
-	for _, e := range c.engines {
-		h := fnv.New64a()
-		fmt.Fprintf(h, "%d %s %d", tables, e.id, tables)
-		if sum := h.Sum64(); e.state == Up && (home == nil || sum > most) {
-			home, most = e, sum
-		}
-	}
-	return home
-}
-
 // ---- the rules' guards, each in one place; release asks them all
 
 // mayLeave keeps rules 5 and 7 and the number of dispatches.
