--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,8 +3,8 @@
 // All decisions of a controller. How it is called: New, then one method for each thing that happens, with the
 // clock first; a method acts by calling the Host given to New. Both interfaces, in and out, are in host.go.
 //
-// Jobs are held and leave by least static slack, after Abbott and Garcia-Molina; docs/design.md has the design
-// and each exception to it. Every dispatch leaves through release, whose guards keep the rules.
+// Jobs are held and leave by least static slack, after Abbott and Garcia-Molina; docs/design.md has the
+// design and each exception to it. Every dispatch leaves through release, whose guards keep the rules.
 
 import (
 	"cmp"
@@ -12,7 +12,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -149,14 +148,11 @@
 		e.listed = false
 	}
 	// Where the list must be asked for, follow it from the start and again, after a wait, when that fails.
-	// The wait is drawn so that controllers that failed together do not ask together.
-	if !c.set.ListOnRequest {
-		return
-	}
-	if kind == ListRemembered {
+	// The wait is drawn, up to a second, so that controllers that failed together do not ask together.
+	if c.set.ListOnRequest && kind == ListRemembered {
 		c.host.Follow(true)
-	} else if kind == ListRefused {
-		c.host.WakeAfter(askTimer, 200*time.Millisecond+time.Duration(c.rng.Int63n(int64(800*time.Millisecond))))
+	} else if c.set.ListOnRequest && kind == ListRefused {
+		c.host.WakeAfter(askTimer, time.Duration((0.2+0.8*c.rng.Float64())*float64(time.Second)))
 	}
 }
 
@@ -166,8 +162,8 @@
 	if e == nil {
 		e = &engine{id: id, since: since, cores: 1}
 		c.byID[id] = e
-		at := sort.Search(len(c.engines), func(i int) bool { return c.engines[i].id > id })
-		c.engines = slices.Insert(c.engines, at, e)
+		c.engines = append(c.engines, e)
+		slices.SortFunc(c.engines, func(a, b *engine) int { return cmp.Compare(a.id, b.id) })
 		for _, k := range c.set.Kinds {
 			if k.Name == kind {
 				e.cores, e.memoryMB = k.Cores, k.MemoryMB
@@ -193,8 +189,8 @@
 	c.release()
 }
 
-// startThreads is a thread and a half a core over all controllers: with half the work on disks about what keeps
-// the cores busy, and under the level from which work is lost.
+// startThreads is a thread and a half a core over all controllers: with half the work on disks about what
+// keeps the cores busy, and under the level from which work is lost.
 const startThreads = 1.5
 
 func (c *Controller) startBound(e *engine) {
@@ -208,16 +204,16 @@
 	expires, cost time.Duration, memory float64, tables Tables, repeat bool) {
 	c.now = now
 	r := c.byName[name]
-	if r == nil {
-		r = &row{Type: Type{Name: name, JobTimeout: expires - now, SLATime: expires - now, Repeat: RunOnce,
-			Threads: 1}}
-		c.rows, c.byName[name] = append(c.rows, r), r
+	if r == nil { // not in the settings: promise nothing
+		r = &row{Type: Type{JobTimeout: expires - now, SLATime: expires - now, Repeat: RunOnce, Threads: 1}}
 	}
 	c.seq++
 	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
 		d: min(now+r.JobTimeout, expires)}
 	c.jobs[id] = j
-	c.taken = append(c.taken, now)
+	if c.set.BudgetWindow > 0 {
+		c.taken = append(c.taken, now)
+	}
 	if r.Ordered && key != "" {
 		if c.lines[key] == nil {
 			c.lines[key] = &line{}
@@ -252,7 +248,7 @@
 	return true
 }
 
-// expect is E: told cost times learned latency per cost, or the type's mean latency; the SLA time before either.
+// expect is E: told cost times learned latency per cost, or mean latency; the SLA time before either.
 func (c *Controller) expect(j *job) time.Duration {
 	if j.row.unit.n == 0 {
 		return j.row.SLATime
@@ -289,9 +285,9 @@
 }
 
 // turn tells the level at which a held job leaves; within a level the least slack goes first.
-// Exceptions to plain slack: a job about to miss its SLA time that can still make it goes before the others, since
-// with a static slack types of a long timeout would wait until they are worthless; one beyond its customer's
-// share, or too late for its SLA time, goes after them.
+// Exceptions to plain slack: a job about to miss its SLA time that can still make it goes before the others,
+// since with a static slack types of a long timeout would wait until they are worthless; one beyond its
+// customer's share, or too late for its SLA time, goes after them.
 func (c *Controller) turn(j *job) int {
 	left := c.sla(j) - c.now - c.expect(j)
 	switch {
@@ -308,7 +304,7 @@
 	for c.anyRoom() {
 		var first *job
 		var to *engine
-		var level int
+		level := 0
 		for _, j := range c.held {
 			l := c.turn(j)
 			if first != nil && (l > level || l == level && (j.slack > first.slack ||
@@ -343,7 +339,7 @@
 		return nil
 	}
 	var best *engine
-	var bestScore float64
+	most := math.Inf(-1)
 	ignoreHealth := c.mostSuspected()
 	for _, e := range c.engines {
 		if !e.roomFor(j.row.Threads) || !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
@@ -352,9 +348,8 @@
 		if e.suspected && !ignoreHealth && (c.now < e.trial || len(e.out) > 0 || j.row.Repeat == RunOnce) {
 			continue
 		}
-		score := e.bound - e.threads + c.liking(j, e)
-		if best == nil || score > bestScore {
-			best, bestScore = e, score
+		if score := e.bound - e.threads + c.liking(j, e); score > most {
+			best, most = e, score
 		}
 	}
 	return best
@@ -394,13 +389,10 @@
 	if c.set.BudgetWindow == 0 {
 		return true
 	}
+	// The edge of the window counts against us: it may be drawn either way.
 	from := c.now - c.set.BudgetWindow
-	for len(c.taken) > 0 && c.taken[0] <= from {
-		c.taken = c.taken[1:]
-	}
-	for len(c.further) > 0 && c.further[0] < from {
-		c.further = c.further[1:]
-	}
+	c.taken = slices.DeleteFunc(c.taken, func(at time.Duration) bool { return at <= from })
+	c.further = slices.DeleteFunc(c.further, func(at time.Duration) bool { return at < from })
 	return float64(len(c.further)+1) <= c.set.BudgetFree+c.set.BudgetShare*float64(len(c.taken))
 }
 
@@ -426,25 +418,20 @@
 	return true
 }
 
-func (c *Controller) isCold(e *engine) bool {
-	return e.since > 0 && c.set.Fall > 0 && c.now-e.since < c.set.Cold
-}
-
 // coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
 const coldShare = 0.9
 
 // coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, by its least
 // capacity, with cores counted at 85% busy as capacity is.
 func (c *Controller) coldAllows(j *job, e *engine) bool {
-	if !c.isCold(e) {
+	if e.since == 0 || c.set.Fall == 0 || c.now-e.since >= c.set.Cold {
 		return true
 	}
-	for len(e.lately) > 0 && e.lately[0].at < c.now-c.set.Fall {
-		e.lately = e.lately[1:]
-	}
 	sum := c.usualWork(j)
 	for _, s := range e.lately {
-		sum += s.work
+		if s.at >= c.now-c.set.Fall {
+			sum += s.work
+		}
 	}
 	part := coldShare * c.set.FallMultiple * c.set.StartCapacity * 0.85 * e.cores / c.many
 	return sum <= time.Duration(part*float64(c.set.Fall))
@@ -462,7 +449,7 @@
 
 func (c *Controller) send(j *job, e *engine) {
 	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now, memory: c.terms(j, e)}
-	if j.sent > 0 {
+	if j.sent > 0 && c.set.BudgetWindow > 0 {
 		c.further = append(c.further, c.now)
 	}
 	j.sent++
@@ -470,6 +457,7 @@
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
+	e.lately = slices.DeleteFunc(e.lately, func(s sending) bool { return s.at < c.now-c.set.Fall })
 	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
 	if e.suspected {
 		e.trial = c.now + e.wait
@@ -523,9 +511,6 @@
 	if o == TurnedAway || o == NoConnection || o == NotSent {
 		j.maybeRan = j.maybeRan[:len(j.maybeRan)-1]
 	}
-	if o == NotSent && j.sent > 1 && len(c.further) > 0 {
-		c.further = c.further[:len(c.further)-1]
-	}
 	if j.line != nil && (o == TimedOut || o == ConnectionLost || o == Recalled) {
 		j.line.rests = now + c.set.KeyQuiet
 	}
@@ -578,9 +563,10 @@
 		// Guards against an engine that takes jobs and answers none: three ended without an answer, all sent
 		// since the last one. Jobs that merely stand behind a load have others answered around them.
 		if d.sent > e.answered && !j.ended {
-			if e.silent++; e.silent >= 3 {
-				c.suspect(e, "silence")
-			}
+			e.silent++
+		}
+		if e.silent >= 3 {
+			c.suspect(e, "silence")
 		}
 	case NoConnection, ConnectionLost:
 		c.suspect(e, o.String())
@@ -607,18 +593,18 @@
 func (c *Controller) mostSuspected() bool {
 	up, bad := 0, 0
 	for _, e := range c.engines {
-		if e.state == Up {
-			up++
-		}
 		if e.state == Up && e.suspected {
 			bad++
 		}
+		if e.state == Up {
+			up++
+		}
 	}
 	return 3*bad > 2*up
 }
 
-// An answer counts at most as four times the best latency, so that a bad plan or a wait behind a load does not
-// shrink the bound by itself; the slowness spans about a bound's worth of answers.
+// An answer counts at most as four times the best latency, so that a bad plan or a wait behind a load does
+// not shrink the bound by itself; the slowness spans about a bound's worth of answers.
 const mostSlow, slowOver = 4, 20
 
 // learnOver is how many jobs the running means span: seconds of a quick type.
@@ -646,29 +632,24 @@
 		r.memory.add(memory/j.memory, learnOver)
 	}
 	// The best latency is forgotten with a time of 60 s, or one lucky time would shrink every bound for good.
-	if r.unit.n >= 30 {
-		// The clock starts anywhere: before the first there is nothing to forget.
-		if r.best > 0 {
-			r.best *= math.Exp((c.now - r.bestAt).Seconds() / 60)
-		}
-		if r.best == 0 || r.unit.value < r.best {
-			r.best = r.unit.value
-		}
-		r.bestAt = c.now
+	// Before the first there is nothing to forget: the clock starts anywhere.
+	if r.best > 0 {
+		r.best = math.Min(r.unit.value, r.best*math.Exp((c.now-r.bestAt).Seconds()/60))
+	} else if r.unit.n >= 30 {
+		r.best = r.unit.value
 	}
-	if r.best == 0 {
-		return
+	r.bestAt = c.now
+	if r.best > 0 {
+		d.engine.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), mostSlow), slowOver)
+		c.fit(d.engine, j)
 	}
-	e := d.engine
-	e.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), mostSlow), slowOver)
-	c.fit(e, j)
 }
 
 // fit widens or shrinks an engine's bound.
-// Target is the slowness at which the bound stands still: at 1.6 an engine is busy and not yet thrashing; where
-// no cost is told the best mean is a lucky one and lies lower by about a quarter. Least keeps a slow engine
-// tried; most is two threads a core for a single controller, as no mix gains beyond, and up to twice that for
-// many, since their traffic may be uneven.
+// Target is the slowness at which the bound stands still: at 1.6 an engine is busy and not yet thrashing;
+// where no cost is told the best mean is a lucky one and lies lower by about a quarter. Least keeps a slow
+// engine tried; most is two threads a core for a single controller, as no mix gains beyond, and up to twice
+// that for many, since their traffic may be uneven.
 func (c *Controller) fit(e *engine, j *job) {
 	const least, most = 0.25, 2.0
 	target := 1.6
@@ -705,6 +686,14 @@
 	if j.line != nil {
 		j.line.jobs = without(j.line.jobs, j)
 	}
+	// A line is kept while its key may rest, and lines are few against jobs.
+	if len(c.jobs) == 0 {
+		for key, l := range c.lines {
+			if c.now >= l.rests {
+				delete(c.lines, key)
+			}
+		}
+	}
 }
 
 func (c *Controller) ClientGone(now time.Duration, id JobID) {
@@ -788,7 +777,7 @@
 	}
 	for _, e := range c.engines {
 		for _, j := range e.out {
-			if !j.ended && c.stuck(j) && j.row.Repeat != RunOnce && c.couldGo(j) && c.budgetAllows() {
+			if !j.ended && c.stuck(j) && c.couldGo(j) && c.budgetAllows() {
 				c.recall(j)
 			}
 		}
@@ -824,10 +813,7 @@
 func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
 	c.now = now
 	j := c.jobs[id]
-	if j == nil || j.out == nil || n != j.sent-1 {
-		return
-	}
-	if topic == Progress {
+	if j != nil && j.out != nil && n == j.sent-1 && topic == Progress {
 		j.out.share, j.out.noted = level, now
 	}
 }
