--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,40 @@
+package simwire
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestWire feeds each kept input and compares replies, complaints and the end with the kept ones.
+func TestWire(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/*.in")
+	if err != nil || len(inputs) == 0 {
+		t.Fatal("no inputs", err)
+	}
+	for _, input := range inputs {
+		t.Run(filepath.Base(input), func(t *testing.T) {
+			in, err := os.ReadFile(input)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out, complaints bytes.Buffer
+			end := "ends well"
+			if err := Run(bytes.NewReader(in), &out, &complaints); err != nil {
+				end = "ends with: " + err.Error()
+			}
+			got := out.String() + complaints.String() + end + "\n"
+			want, err := os.ReadFile(strings.TrimSuffix(input, "in") + "out")
+			if err != nil {
+				t.Fatal(err, "\n"+got)
+			}
+			if diff := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(got, "\n")); diff != "" {
+				t.Error("(-kept +now):\n" + diff)
+			}
+		})
+	}
+}
