--- a/logic/logic.go
+++ b/logic/logic.go
@@ -140,8 +140,6 @@
 	return c
 }
 
-// ---- the list of engines
-
 func (c *Controller) ListBegins(now time.Duration, kind ListKind) {
 	c.now, c.whole = now, kind == ListWhole || kind == ListRemembered
 	for _, e := range c.engines {
@@ -198,8 +196,6 @@
 	e.bound = e.cores * startThreads / c.many
 }
 
-// ---- jobs
-
 func (c *Controller) JobTaken(now time.Duration, id JobID, name TypeName, cust CustomerID, key Key,
 	expires, cost time.Duration, memory float64, tables Tables, repeat bool) {
 	c.now = now
@@ -311,11 +307,11 @@
 				j.slack == first.slack && j.seq > first.seq)) {
 				continue
 			}
-			if e := c.choose(j); e != nil {
+			if e, waits := c.choose(j); e != nil || waits {
 				first, to, level = j, e, l
 			}
 		}
-		if first == nil {
+		if to == nil {
 			return
 		}
 		c.held = without(c.held, first)
@@ -333,16 +329,21 @@
 	return len(e.out) == 0 || e.threads+threads/2 <= e.bound
 }
 
-// choose gives the engine with most room among those that the rules and its health allow, or nil.
-func (c *Controller) choose(j *job) *engine {
+// choose gives the engine with most room among those that the rules and its health allow. Without one, waits
+// tells that only room is lacking: others wait behind such a job, but not behind one that the rules hold back.
+func (c *Controller) choose(j *job) (best *engine, waits bool) {
 	if !c.mayLeave(j) {
-		return nil
+		return nil, false
 	}
-	var best *engine
+	waits = true
 	most := math.Inf(-1)
 	ignoreHealth := c.mostSuspected()
 	for _, e := range c.engines {
-		if !e.roomFor(j.row.Threads) || !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
+		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
+			waits = waits && e.state != Up
+			continue
+		}
+		if !e.roomFor(j.row.Threads) {
 			continue
 		}
 		if e.suspected && !ignoreHealth && (c.now < e.trial || len(e.out) > 0 || j.row.Repeat == RunOnce) {
@@ -352,7 +353,7 @@
 			best, most = e, score
 		}
 	}
-	return best
+	return best, waits
 }
 
 // liking weighs, in threads, what tells engines of nearly equal room apart.
@@ -445,8 +446,6 @@
 	return time.Duration(j.row.work.value)
 }
 
-// ---- sending
-
 func (c *Controller) send(j *job, e *engine) {
 	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now, memory: c.terms(j, e)}
 	if j.sent > 0 && c.set.BudgetWindow > 0 {
@@ -495,8 +494,6 @@
 	return need
 }
 
-// ---- outcomes
-
 func (c *Controller) DispatchOver(now time.Duration, id JobID, n int, eid EngineID, o Outcome,
 	took time.Duration, over bool, work time.Duration, memory float64, load Load) {
 	c.now = now
@@ -664,8 +661,6 @@
 	e.bound = math.Min(math.Max(e.bound, least*e.cores/c.many), most*e.cores*2/(1+c.many))
 }
 
-// ---- ends
-
 // end gives the final answer: a throttling reply where it is true that a retry does no harm.
 func (c *Controller) end(j *job) {
 	c.held = without(c.held, j)
@@ -734,7 +729,7 @@
 }
 
 // shed refuses held jobs of least value for their thread time while more is held than leaves in useful time,
-// the shortest SLA time.
+// half the shortest SLA time: all of it and twice it left more late.
 func (c *Controller) shed() {
 	limit := math.Inf(1)
 	for _, r := range c.rows {
@@ -747,13 +742,11 @@
 		}
 		return v
 	}
-	for len(c.held) > 1 && c.drain() > limit {
+	for len(c.held) > 1 && c.drain() > limit/2 {
 		c.end(slices.MinFunc(c.held, func(a, b *job) int { return cmp.Compare(value(a), value(b)) }))
 	}
 }
 
-// ---- time
-
 func (c *Controller) TimerDue(now time.Duration, t TimerID) {
 	c.now = now
 	if t == askTimer {
@@ -808,8 +801,6 @@
 	return age > 3*e+300*time.Millisecond
 }
 
-// ---- further news
-
 func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
 	c.now = now
 	j := c.jobs[id]
