Jobs on the same tables count once towards an engine's silence

Cause: with many controllers three quick jobs behind one load on popular tables looked like a hung engine.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -91,6 +91,7 @@
 	errors          float64       // share of late
 	answered        time.Duration // when an answer last came
 	silent          int           // dispatches that ended without one since
+	unread          Tables        // what the last of them read
 	suspected       bool
 	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
@@ -558,9 +559,10 @@
 		}
 	case TimedOut, Recalled:
 		// Guards against an engine that takes jobs and answers none: three ended without an answer, all sent
-		// since the last one. Jobs that merely stand behind a load have others answered around them.
-		if d.sent > e.answered && !j.ended {
+		// since the last one. Jobs on the same tables in a row count once: they may stand behind one load.
+		if d.sent > e.answered && !j.ended && (e.silent == 0 || e.unread != j.tables) {
 			e.silent++
+			e.unread = j.tables
 		}
 		if e.silent >= 3 {
 			c.suspect(e, "silence")
