--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,7 +71,6 @@
 	rests time.Duration
 }
 
-// sending is work sent to an engine, for rule 4.
 type sending struct{ at, work time.Duration }
 
 // engine is what this controller knows of an engine while it stays known.
@@ -296,26 +295,25 @@
 	return 1
 }
 
-// release sends held jobs, least slack first, while an engine has room. It is the only way to a dispatch.
+// order is turn, then least slack, then arrival.
+func (c *Controller) order(a, b *job) int {
+	return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(a.slack, b.slack), cmp.Compare(a.seq, b.seq))
+}
+
+// release sends held jobs in order while an engine has room. It is the only way to a dispatch.
 func (c *Controller) release() {
 	for c.anyRoom() {
-		var first *job
+		slices.SortFunc(c.held, c.order)
 		var to *engine
-		level := 0
-		for _, j := range c.held {
-			l := c.turn(j)
-			if first != nil && (l > level || l == level && (j.slack > first.slack ||
-				j.slack == first.slack && j.seq > first.seq)) {
-				continue
-			}
-			if e, waits := c.choose(j); e != nil || waits {
-				first, to, level = j, e, l
-			}
-		}
+		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
+			to, waits = c.choose(j)
+			return to != nil || waits
+		})
 		if to == nil {
 			return
 		}
-		c.held = without(c.held, first)
+		first := c.held[at]
+		c.held = slices.Delete(c.held, at, at+1)
 		c.send(first, to)
 	}
 }
@@ -330,8 +328,8 @@
 	return len(e.out) == 0 || e.threads+threads/2 <= e.bound
 }
 
-// choose gives the engine with most room among those that the rules and its health allow. Without one, waits
-// tells that only room is lacking: others wait behind such a job, but not behind one that the rules hold back.
+// choose gives the engine with most room among those that the rules and its health allow. Without one,
+// waits tells that only room is lacking: others wait behind such a job, not behind one held by a rule.
 func (c *Controller) choose(j *job) (best *engine, waits bool) {
 	if !c.mayLeave(j) {
 		return nil, false
@@ -683,7 +681,7 @@
 	if j.line != nil {
 		j.line.jobs = without(j.line.jobs, j)
 	}
-	// A line is kept while its key may rest, and lines are few against jobs.
+	// A line is kept while its key may rest.
 	if len(c.jobs) == 0 {
 		for key, l := range c.lines {
 			if c.now >= l.rests {
@@ -731,11 +729,11 @@
 }
 
 // shed refuses held jobs of least value for their thread time while more is held than leaves in useful time,
-// half the shortest SLA time: all of it and twice it left more late.
+// half the shortest SLA time (all of it left more late). Of equals the oldest goes, the likeliest to be late.
 func (c *Controller) shed() {
 	limit := math.Inf(1)
 	for _, r := range c.rows {
-		limit = math.Min(limit, r.SLATime.Seconds())
+		limit = math.Min(limit, r.SLATime.Seconds()/2)
 	}
 	value := func(j *job) float64 {
 		v := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
@@ -744,8 +742,10 @@
 		}
 		return v
 	}
-	for len(c.held) > 1 && c.drain() > limit/2 {
-		c.end(slices.MinFunc(c.held, func(a, b *job) int { return cmp.Compare(value(a), value(b)) }))
+	for len(c.held) > 1 && c.drain() > limit {
+		c.end(slices.MinFunc(c.held, func(a, b *job) int {
+			return cmp.Or(cmp.Compare(value(a), value(b)), cmp.Compare(a.seq, b.seq))
+		}))
 	}
 }
 
