A cold engine's capacity is taken to grow along half a straight line

Cause: a controller's part of a cold engine, counted at its least capacity for the whole cold time, keeps long jobs off it while rooms and releases come back.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,10 +68,10 @@
 // line is the order of the jobs of one key.
 type line struct {
 	jobs  []*job
-	rests time.Duration
+	rests time.Duration // until then
 }
 
-type sending struct{ at, work time.Duration }
+type sending struct{ at, work time.Duration } // for rule 4
 
 // engine is what this controller knows of an engine while it stays known.
 type engine struct {
@@ -275,7 +275,6 @@
 	c.held = append(c.held, j)
 }
 
-// without takes a job out of a list.
 func without(list []*job, j *job) []*job {
 	return slices.DeleteFunc(list, func(other *job) bool { return other == j })
 }
@@ -319,8 +318,8 @@
 }
 
 func (c *Controller) anyRoom() bool {
-	room := func(e *engine) bool { return e.state == Up && e.roomFor(1) }
-	return len(c.held) > 0 && slices.ContainsFunc(c.engines, room)
+	return len(c.held) > 0 &&
+		slices.ContainsFunc(c.engines, func(e *engine) bool { return e.state == Up && e.roomFor(1) })
 }
 
 // roomFor lets a wide job overlap the bound by half, or a narrow bound would never pass it.
@@ -378,8 +377,9 @@
 
 // mayLeave keeps rules 5 and 7 and the number of dispatches.
 func (c *Controller) mayLeave(j *job) bool {
+	// The one that has the turn may go again without the rest.
 	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
-		return false // the one that has the turn may go again without the rest
+		return false
 	}
 	return j.sent == 0 || j.sent < c.set.MaxDispatches && c.budgetAllows()
 }
@@ -421,8 +421,9 @@
 // coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
 const coldShare = 0.9
 
-// coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, by its least
-// capacity, with cores counted at 85% busy as capacity is.
+// coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, with cores
+// counted at 85% busy as capacity is. How a start ramps up is not told: half of a straight line is taken, of
+// the span's beginning. It could do harm where an engine stays at its least until the cold time is over.
 func (c *Controller) coldAllows(j *job, e *engine) bool {
 	if e.since == 0 || c.set.Fall == 0 || c.now-e.since >= c.set.Cold {
 		return true
@@ -433,7 +434,9 @@
 			sum += s.work
 		}
 	}
-	part := coldShare * c.set.FallMultiple * c.set.StartCapacity * 0.85 * e.cores / c.many
+	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
+	now := c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
+	part := coldShare * c.set.FallMultiple * now * 0.85 * e.cores / c.many
 	return sum <= time.Duration(part*float64(c.set.Fall))
 }
 
@@ -457,9 +460,7 @@
 	e.threads += j.row.Threads
 	e.lately = slices.DeleteFunc(e.lately, func(s sending) bool { return s.at < c.now-c.set.Fall })
 	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
-	if e.suspected {
-		e.trial = c.now + e.wait
-	}
+	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
 	if j.row.LateValue == 0 {
 		// A late answer earns nothing: an engine with too much to do is spared it.
@@ -504,7 +505,7 @@
 	j.out = nil
 	e.out = without(e.out, j)
 	e.threads -= j.row.Threads
-	if o == TurnedAway || o == NoConnection || o == NotSent {
+	if o == TurnedAway || o == NoConnection || o == NotSent { // proves that it never ran
 		j.maybeRan = j.maybeRan[:len(j.maybeRan)-1]
 	}
 	if j.line != nil && (o == TimedOut || o == ConnectionLost || o == Recalled) {
