--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -43,32 +43,21 @@
 		Orgs         []struct {
 			Name     logic.CustomerID
 			QuotaRPS float64 `json:"quota_rps"`
-			Share    float64
 		}
 		OverShareWorth float64 `json:"over_share_worth"`
-		ClientHabits   struct {
-			MarksRetry bool `json:"marks_retry"`
-		} `json:"client_habits"`
-		Permissions struct {
+		Permissions    struct {
 			MaxAttempts   int           `json:"max_attempts"`
 			MaxRetryAfter time.Duration `json:"max_retry_after"`
 			MayCancel     bool          `json:"may_cancel"`
-			ParallelTries bool          `json:"parallel_tries"`
 			RetryAfter    bool          `json:"retry_after"`
 		}
-		ResultMix struct {
-			Whole      float64
-			WorstClass float64 `json:"worst_class"`
-		} `json:"result_mix"`
 		Safety struct {
 			BudgetWindow    time.Duration `json:"budget_window"`
 			Cold            time.Duration
 			ExtraFloor      float64 `json:"extra_floor"`
 			ExtraPerRequest float64 `json:"extra_per_request"`
 			Fall            time.Duration
-			GraceToAnswer   time.Duration `json:"grace_to_answer"`
 			KeyQuiet        time.Duration `json:"key_quiet"`
-			MustAskIn       time.Duration `json:"must_ask_in"`
 			StartCapacity   float64       `json:"start_capacity"`
 			TipMultiple     float64       `json:"tip_multiple"`
 		}
@@ -83,13 +72,10 @@
 		ListOnRequest: c.Discovery == "on_request", MayRecall: c.Permissions.MayCancel,
 		GrantsCount: c.FamilyInfo.GrantsCount, PriorityHeeded: c.FamilyInfo.RanksHeeded,
 		GrantShare: c.FamilyInfo.GrantCap, OverGrantsPage: c.FamilyInfo.OutOfMemory == "swap",
-		MaxDispatches: c.Permissions.MaxAttempts, Parallel: c.Permissions.ParallelTries,
-		Tick: c.Tick, AnswerGrace: c.Safety.GraceToAnswer, MustAskIn: c.Safety.MustAskIn,
+		MaxDispatches: c.Permissions.MaxAttempts, Tick: c.Tick,
 		StartCapacity: c.Safety.StartCapacity, Cold: c.Safety.Cold, FallMultiple: c.Safety.TipMultiple,
 		Fall: c.Safety.Fall, KeyQuiet: c.Safety.KeyQuiet, BudgetWindow: c.Safety.BudgetWindow,
 		BudgetFree: c.Safety.ExtraFloor, BudgetShare: c.Safety.ExtraPerRequest,
-		WeightWhole: c.ResultMix.Whole, WeightWorstType: c.ResultMix.WorstClass,
-		RepeatsAreMarked: c.ClientHabits.MarksRetry,
 	}
 	if c.Permissions.RetryAfter {
 		s.MaxComeBack = c.Permissions.MaxRetryAfter
@@ -113,8 +99,7 @@
 			MemoryMB: at(c.FamilyInfo.RAM, n, 0)})
 	}
 	for _, org := range c.Orgs {
-		s.Customers = append(s.Customers, logic.Customer{Name: org.Name, JobsPerS: org.QuotaRPS,
-			ShareWant: org.Share})
+		s.Customers = append(s.Customers, logic.Customer{Name: org.Name, JobsPerS: org.QuotaRPS})
 	}
 	return s, c.LoadReport.Columns, nil
 }
--- a/logic/host.go
+++ b/logic/host.go
@@ -130,40 +130,33 @@
 }
 
 type Customer struct {
-	Name      CustomerID
-	JobsPerS  float64
-	ShareWant float64
+	Name     CustomerID
+	JobsPerS float64
 }
 
 // Settings are handed over at the start. A limit of zero is off, save where its comment says otherwise.
 type Settings struct {
-	Controllers      int
-	Location         Location
-	Types            []Type
-	Kinds            []EngineKind
-	Customers        []Customer
-	OverShareValue   float64
-	ListOnRequest    bool
-	MayRecall        bool
-	GrantsCount      bool
-	PriorityHeeded   bool
-	GrantShare       float64
-	OverGrantsPage   bool
-	MaxDispatches    int
-	Parallel         bool
-	MaxComeBack      time.Duration
-	Tick             time.Duration
-	AnswerGrace      time.Duration
-	MustAskIn        time.Duration
-	StartCapacity    float64
-	Cold             time.Duration
-	FallMultiple     float64
-	Fall             time.Duration
-	KeyQuiet         time.Duration
-	BudgetWindow     time.Duration
-	BudgetFree       float64
-	BudgetShare      float64
-	WeightWhole      float64
-	WeightWorstType  float64
-	RepeatsAreMarked bool
+	Controllers    int
+	Location       Location
+	Types          []Type
+	Kinds          []EngineKind
+	Customers      []Customer
+	OverShareValue float64
+	ListOnRequest  bool
+	MayRecall      bool
+	GrantsCount    bool
+	PriorityHeeded bool
+	GrantShare     float64
+	OverGrantsPage bool
+	MaxDispatches  int
+	MaxComeBack    time.Duration
+	Tick           time.Duration
+	StartCapacity  float64
+	Cold           time.Duration
+	FallMultiple   float64
+	Fall           time.Duration
+	KeyQuiet       time.Duration
+	BudgetWindow   time.Duration
+	BudgetFree     float64
+	BudgetShare    float64
 }
