Bounds of all engines together, homes for narrow bounds, cold engines in turns

Cause: with 44 to 300 controllers a bound is a part of a thread, so one job where none runs decided everything, every controller took the first engine by id, the slowness needed 20 answers of each engine, and a cold engine's part was under one job. Now: all that is out keeps to the sum of the bounds, which moves by the slowness over all engines; narrow bounds are dealt out whole over a few home engines by the controller's number; chance tells equals apart; the best latency is known at once where cost is told; memory that engines report granted counts as slowness and in the choice; cold engines are for their homes, in turns. Covers other causes of jammed engines too; could harm where a few controllers carry most of the traffic and lists differ. Gone engines are forgotten.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -11,8 +11,8 @@
 // readSettings takes the figures that the module reads out of the wire's settings; other keys are passed over.
 func readSettings(raw json.RawMessage) (s logic.Settings, columns []string, err error) {
 	var c struct {
-		Balancers int
-		Classes   []struct {
+		Balancers, Rank int
+		Classes         []struct {
 			Name             string
 			Aim, Deadline    time.Duration
 			AimStretch       float64 `json:"aim_stretch"`
@@ -68,7 +68,7 @@
 		return s, nil, fmt.Errorf("field config: %w", err)
 	}
 	s = logic.Settings{
-		Controllers: c.Balancers, Location: c.Zone, OverShareValue: c.OverShareWorth,
+		Controllers: c.Balancers, Number: c.Rank, Location: c.Zone, OverShareValue: c.OverShareWorth,
 		ListOnRequest: c.Discovery == "on_request", MayRecall: c.Permissions.MayCancel,
 		GrantsCount: c.FamilyInfo.GrantsCount, PriorityHeeded: c.FamilyInfo.RanksHeeded,
 		GrantShare: c.FamilyInfo.GrantCap, OverGrantsPage: c.FamilyInfo.OutOfMemory == "swap",
--- a/logic/host.go
+++ b/logic/host.go
@@ -137,6 +137,7 @@
 // Settings are handed over at the start. A limit of zero is off, save where its comment says otherwise.
 type Settings struct {
 	Controllers    int
+	Number         int // of this controller, from 0
 	Location       Location
 	Types          []Type
 	Kinds          []EngineKind
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,13 +2,12 @@
 
 // All decisions of a controller. How it is called: New, then one method for each thing that happens, with the
 // clock first; a method acts by calling the Host given to New. Both interfaces, in and out, are in host.go.
-//
-// Jobs are held and leave by least static slack, after Abbott and Garcia-Molina; docs/design.md has the
-// design and each exception to it. Every dispatch leaves through release, whose guards keep the rules.
+// Jobs leave by least static slack; docs/design.md has the design and each exception to it.
 
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -19,8 +18,7 @@
 type dispatch struct {
 	engine          *engine
 	sent, expected  time.Duration // expected is E when it was sent
-	memory          float64
-	share           float64 // done, by the last note
+	share           float64       // done, by the last note
 	noted           time.Duration
 	recalled, begun bool // begun: the answer has started and is the client's
 }
@@ -39,7 +37,6 @@
 	ended        bool        // its final answer is given, or the client left
 	maybeRan     []*dispatch // dispatches that are out or may have run
 	out          *dispatch
-	avoid        *engine // where the last dispatch failed
 }
 
 // row is what differs by reservation type: its settings and what was learned of it.
@@ -84,43 +81,44 @@
 	since           time.Duration
 	cores, memoryMB float64
 	bound, threads  float64 // threads this controller may have there, and has
+	dealt           float64 // the bound, dealt out by whole jobs
 	slow            mean    // latency over the best
 	out             []*job
 	lately          []sending
 	errors          float64       // share of late
+	full, reported  float64       // memory granted, as last reported, and when in s
 	answered        time.Duration // when an answer last came
 	silent          int           // dispatches that ended without one since
-	unread          Tables        // what the last of them read
 	suspected       bool
 	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
 
 // Controller is one instance; it shares nothing with others.
 type Controller struct {
-	host      Host
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	rows      []*row
-	byName    map[TypeName]*row
-	customers map[CustomerID]*customer
-	engines   []*engine // by id, so that no order depends on a map
-	byID      map[EngineID]*engine
-	jobs      map[JobID]*job
-	held      []*job
-	lines     map[Key]*line
-	taken     []time.Duration // rule 7: jobs taken and further dispatches in the window
-	further   []time.Duration
-	seq       int
-	ticking   bool
-	whole     bool    // the list being read is a whole one
-	many      float64 // controllers
-}
-
-const (
-	sweepTimer TimerID = 1
-	askTimer   TimerID = 2
-)
+	host       Host
+	set        Settings
+	rng        *rand.Rand
+	now        time.Duration
+	byName     map[TypeName]*row
+	customers  map[CustomerID]*customer
+	engines    []*engine // by id, so that no order depends on a map
+	byID       map[EngineID]*engine
+	jobs       map[JobID]*job
+	held       []*job
+	lines      map[Key]*line
+	taken      []time.Duration // rule 7: jobs taken and further dispatches in the window
+	further    []time.Duration
+	seq        int
+	ticking    bool
+	whole      bool          // the list being read is a whole one
+	widest     float64       // threads of the widest type
+	shortest   time.Duration // least SLA time
+	many       float64       // controllers
+	homes      float64       // engines that the bounds are dealt out to
+	slow, full mean          // as an engine's, over all of them
+}
+
+const sweepTimer, askTimer TimerID = 1, 2
 
 // sweepEvery bounds how late a held job is refused; a few ticks keep the timers few.
 const sweepEvery = 20 * time.Millisecond
@@ -128,11 +126,11 @@
 func New(host Host, settings Settings, seed int64) *Controller {
 	c := &Controller{host: host, set: settings, rng: rand.New(rand.NewSource(seed)),
 		byName: map[TypeName]*row{}, customers: map[CustomerID]*customer{}, byID: map[EngineID]*engine{},
-		jobs: map[JobID]*job{}, lines: map[Key]*line{}, many: math.Max(1, float64(settings.Controllers))}
+		jobs: map[JobID]*job{}, lines: map[Key]*line{}, shortest: math.MaxInt64,
+		many: math.Max(1, float64(settings.Controllers))}
 	for _, t := range settings.Types {
-		r := &row{Type: t}
-		c.rows = append(c.rows, r)
-		c.byName[t.Name] = r
+		c.byName[t.Name] = &row{Type: t}
+		c.widest, c.shortest = math.Max(c.widest, t.Threads), min(c.shortest, t.SLATime)
 	}
 	for _, cust := range settings.Customers {
 		c.customers[cust.Name] = &customer{perS: cust.JobsPerS / c.many}
@@ -145,8 +143,8 @@
 	for _, e := range c.engines {
 		e.listed = false
 	}
-	// Where the list must be asked for, follow it from the start and again, after a wait, when that fails.
-	// The wait is drawn, up to a second, so that controllers that failed together do not ask together.
+	// Where the list must be asked for, follow it from the start and, when that fails, after a drawn wait, so
+	// that controllers that failed together do not ask together.
 	if c.set.ListOnRequest && kind == ListRemembered {
 		c.host.Follow(true)
 	} else if c.set.ListOnRequest && kind == ListRefused {
@@ -179,21 +177,26 @@
 }
 
 func (c *Controller) ListEnds(now time.Duration) {
-	for _, e := range c.engines {
+	// Engines gone for good are forgotten, or replaced ones would pile up.
+	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
 		if c.whole && !e.listed {
 			e.state = Gone
 		}
-	}
+		if e.state == Gone && len(e.out) == 0 {
+			delete(c.byID, e.id)
+		}
+		return c.byID[e.id] == nil
+	})
 	c.release()
 }
 
-// startThreads is a thread and a half a core over all controllers: with half the work on disks about what
-// keeps the cores busy, and under the level from which work is lost.
-const startThreads = 1.5
+// startThreads is a thread and a half a core for a single controller, about what keeps cores busy with half
+// the work on disks, and twice that for many, whose needs do not fall together.
+const startThreads = 3.0
 
 func (c *Controller) startBound(e *engine) {
 	e.slow = mean{}
-	e.bound = e.cores * startThreads / c.many
+	e.bound = e.cores * startThreads / (1 + c.many)
 }
 
 func (c *Controller) JobTaken(now time.Duration, id JobID, name TypeName, cust CustomerID, key Key,
@@ -217,9 +220,8 @@
 		j.line = c.lines[key]
 		j.line.jobs = append(j.line.jobs, j)
 	}
-	if from := c.customers[cust]; from != nil && from.perS > 0 {
-		j.over = !from.admit(now)
-	}
+	from := c.customers[cust]
+	j.over = from != nil && from.perS > 0 && !from.admit(now)
 	c.hold(j)
 	if c.hopeless(j) { // as one that expires on arrival
 		c.end(j)
@@ -237,11 +239,11 @@
 func (cu *customer) admit(now time.Duration) bool {
 	cu.tokens = math.Min(cu.tokens+cu.perS*(now-cu.filled).Seconds(), math.Max(1, cu.perS))
 	cu.filled = now
-	if cu.tokens < 1 {
-		return false
+	admitted := cu.tokens >= 1
+	if admitted {
+		cu.tokens--
 	}
-	cu.tokens--
-	return true
+	return admitted
 }
 
 // expect is E: told cost times learned latency per cost, or mean latency; the SLA time before either.
@@ -280,9 +282,8 @@
 }
 
 // turn tells the level at which a held job leaves; within a level the least slack goes first.
-// Exceptions to plain slack: a job about to miss its SLA time that can still make it goes before the others,
-// since with a static slack types of a long timeout would wait until they are worthless; one beyond its
-// customer's share, or too late for its SLA time, goes after them.
+// Exceptions to plain slack: a job about to miss its SLA time goes first, as types of a long timeout would
+// wait until they are worthless; one beyond its customer's share or too late for its SLA time goes last.
 func (c *Controller) turn(j *job) int {
 	left := c.sla(j) - c.now - c.expect(j)
 	switch {
@@ -317,14 +318,47 @@
 	}
 }
 
+// fleet sums up the engines in use. When most are suspected, a cause common to them is likelier than as many
+// faults; then all are used.
+func (c *Controller) fleet() (bound, threads float64, common bool) {
+	var up, bad, badBound, badThreads float64
+	for _, e := range c.engines {
+		if e.state == Up {
+			up, bound, threads = up+1, bound+e.bound, threads+e.threads
+			if e.suspected {
+				bad, badBound, badThreads = bad+1, badBound+e.bound, badThreads+e.threads
+			}
+		}
+	}
+	if common = 3*bad > 2*up; common {
+		return bound, threads, true
+	}
+	return bound - badBound, threads - badThreads, false
+}
+
+// anyRoom guards against many controllers that each put one job on every engine: where bounds are under a
+// thread, all that is out keeps to their sum, or is one job.
 func (c *Controller) anyRoom() bool {
-	return len(c.held) > 0 &&
-		slices.ContainsFunc(c.engines, func(e *engine) bool { return e.state == Up && e.roomFor(1) })
+	bound, threads, _ := c.fleet()
+	return len(c.held) > 0 && (threads == 0 || threads+0.5 <= bound)
+}
+
+// deal guards against bounds narrower than a job, which are none: they are dealt out anew to so few engines
+// as have room for the widest job each, the homes. By number, controllers start from places spread evenly.
+func (c *Controller) deal(bound float64) {
+	c.homes = math.Max(1, math.Min(math.Ceil(bound/c.widest), float64(len(c.engines))))
+	first := int(float64(c.set.Number) * float64(len(c.engines)) / c.many)
+	for i, e := range c.engines {
+		e.dealt = 0
+		if (i-first+len(c.engines))%len(c.engines) < int(c.homes) {
+			e.dealt = e.bound * float64(len(c.engines)) / c.homes
+		}
+	}
 }
 
 // roomFor lets a wide job overlap the bound by half, or a narrow bound would never pass it.
 func (e *engine) roomFor(threads float64) bool {
-	return len(e.out) == 0 || e.threads+threads/2 <= e.bound
+	return len(e.out) == 0 || e.threads+threads/2 <= e.dealt
 }
 
 // choose gives the engine with most room among those that the rules and its health allow. Without one,
@@ -333,21 +367,20 @@
 	if !c.mayLeave(j) {
 		return nil, false
 	}
-	waits = true
 	most := math.Inf(-1)
-	ignoreHealth := c.mostSuspected()
+	bound, threads, ignoreHealth := c.fleet()
+	if threads > 0 && threads+j.row.Threads/2 > bound {
+		return nil, true
+	}
+	c.deal(bound)
+	waits = true
 	for _, e := range c.engines {
 		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
 			waits = waits && e.state != Up
 			continue
 		}
-		if !e.roomFor(j.row.Threads) {
-			continue
-		}
-		if e.suspected && !ignoreHealth && (c.now < e.trial || len(e.out) > 0 || j.row.Repeat == RunOnce) {
-			continue
-		}
-		if score := e.bound - e.threads + c.liking(j, e); score > most {
+		well := !e.suspected || ignoreHealth || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != RunOnce
+		if score := e.dealt - e.threads + c.liking(j, e); score > most && well && e.roomFor(j.row.Threads) {
 			best, most = e, score
 		}
 	}
@@ -356,18 +389,15 @@
 
 // liking weighs, in threads, what tells engines of nearly equal room apart.
 func (c *Controller) liking(j *job, e *engine) float64 {
-	like := 0.0
-	if e.location == c.set.Location {
-		like++ // one thread: crossing costs little, so only near-equals
-	}
-	if e == j.avoid {
-		like -= e.cores
-	}
-	if j.row.StandsBy || j.row.HoldsLoad {
-		for _, o := range e.out {
-			if o.row.HoldsLoad && o.tables == j.tables {
-				like -= e.cores // it would stand still there
-			}
+	// Chance tells equals apart, or every controller would take the first. A report of memory granted tells
+	// for about a second.
+	like := c.rng.Float64()/4 - 2*(e.full-c.full.value)*math.Exp(e.reported-c.now.Seconds())
+	if c.slow.value > 0 {
+		like -= c.slowness(e) / c.slow.value
+	}
+	for _, o := range e.out {
+		if o.row.HoldsLoad && o.tables == j.tables && (j.row.StandsBy || j.row.HoldsLoad) {
+			like -= e.cores // it would stand still there
 		}
 	}
 	return like
@@ -403,41 +433,43 @@
 		return false
 	}
 	for _, ran := range j.maybeRan {
-		switch j.row.Repeat {
-		case RunOnce:
+		// A tick inside the window, as the clock only moves by ticks.
+		if j.row.Repeat == RunOnce || j.row.Repeat == Keyed && (c.now > ran.sent+j.row.Window-c.set.Tick ||
+			j.row.Group == GroupLocation && ran.engine.location != e.location ||
+			j.row.Group == GroupCell && ran.engine.cell != e.cell) {
 			return false
-		case Keyed:
-			// A tick inside the window, as the clock only moves by ticks.
-			if c.now > ran.sent+j.row.Window-c.set.Tick ||
-				j.row.Group == GroupLocation && ran.engine.location != e.location ||
-				j.row.Group == GroupCell && ran.engine.cell != e.cell {
-				return false
-			}
 		}
 	}
 	return true
 }
 
 // coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
-const coldShare = 0.9
+const coldShare = 0.75
 
-// coldAllows keeps rule 4: this controller's part of what a cold engine stands within the span, with cores
-// counted at 85% busy as capacity is. How a start ramps up is not told: half of a straight line is taken, of
-// the span's beginning. It could do harm where an engine stays at its least until the cold time is over.
+// coldAllows keeps rule 4: of what a cold engine stands in the span (85% busy cores, as capacity is) each
+// controller at home there takes an equal part, others none. A job of more than that goes in turn: turns are
+// spread by number over as many spans as it needs parts; clocks need only roughly agree. A start is taken to
+// ramp up along half a line. Harm: an engine that stays at its least, or lists that differ for long.
 func (c *Controller) coldAllows(j *job, e *engine) bool {
 	if e.since == 0 || c.set.Fall == 0 || c.now-e.since >= c.set.Cold {
 		return true
 	}
-	sum := c.usualWork(j)
+	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
+	now := c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
+	whole := coldShare * c.set.FallMultiple * now * 0.85 * e.cores * float64(c.set.Fall)
+	part := whole * float64(len(c.engines)) / (c.homes * c.many)
+	work := float64(c.usualWork(j))
+	turns := math.Max(1, math.Ceil(work/part))
+	_, turn := math.Modf(float64(c.now)/float64(c.set.Fall)/turns + float64(c.set.Number)*math.Phi)
+	if e.dealt == 0 || work > whole || turn*turns > 1 {
+		return false
+	}
 	for _, s := range e.lately {
-		if s.at >= c.now-c.set.Fall {
-			sum += s.work
+		if s.at >= c.now-c.set.Fall*time.Duration(turns) {
+			work += float64(s.work)
 		}
 	}
-	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
-	now := c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
-	part := coldShare * c.set.FallMultiple * now * 0.85 * e.cores / c.many
-	return sum <= time.Duration(part*float64(c.set.Fall))
+	return work <= turns*part
 }
 
 // usualWork is what rule 4 counts for a job: the usual work of its type.
@@ -449,7 +481,8 @@
 }
 
 func (c *Controller) send(j *job, e *engine) {
-	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now, memory: c.terms(j, e)}
+	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now}
+	c.terms(j, e)
 	if j.sent > 0 && c.set.BudgetWindow > 0 {
 		c.further = append(c.further, c.now)
 	}
@@ -458,7 +491,7 @@
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
-	e.lately = slices.DeleteFunc(e.lately, func(s sending) bool { return s.at < c.now-c.set.Fall })
+	e.lately = slices.DeleteFunc(e.lately, func(s sending) bool { return s.at < c.now-c.set.Cold })
 	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
@@ -471,27 +504,25 @@
 
 // terms sets memory and priority. Where an overfull memory only counts what is needed, a generous grant costs
 // nothing and spares the spill; elsewhere the grant stays near the need.
-func (c *Controller) terms(j *job, e *engine) float64 {
+func (c *Controller) terms(j *job, e *engine) {
 	if j.memory <= 0 || !c.set.GrantsCount {
-		return j.memory
-	}
-	need := j.memory
-	if j.row.memory.n > 0 {
-		need *= j.row.memory.value
+		return
 	}
-	grant := need * 1.25
+	grant := j.memory * 1.25
 	if c.set.OverGrantsPage {
-		grant = need * 1.6
+		grant = j.memory * 1.6
+	}
+	if j.row.memory.n > 0 {
+		grant *= j.row.memory.value
 	}
-	if c.set.GrantShare > 0 && e.memoryMB > 0 {
-		grant = math.Min(grant, c.set.GrantShare*e.memoryMB)
+	if most := c.set.GrantShare * e.memoryMB; most > 0 {
+		grant = math.Min(grant, most)
 	}
 	priority := 1
 	if c.set.PriorityHeeded && j.slack < c.expect(j) {
 		priority = 2
 	}
 	c.host.SetTerms(j.id, grant, priority)
-	return need
 }
 
 func (c *Controller) DispatchOver(now time.Duration, id JobID, n int, eid EngineID, o Outcome,
@@ -511,15 +542,17 @@
 	if j.line != nil && (o == TimedOut || o == ConnectionLost || o == Recalled) {
 		j.line.rests = now + c.set.KeyQuiet
 	}
+	if load.MemoryGranted > 0 {
+		e.full, e.reported = load.MemoryGranted, now.Seconds()
+		c.full.add(e.full, slowOver)
+	}
 	c.judge(j, d, o)
 	if o == Done {
-		c.learn(j, d, took, work, memory)
+		c.learn(j, d, took, work, memory, load.MemoryGranted)
 	} else if o == TimedOut && took > d.expected {
 		// Guards against learning only from the jobs that a congested engine still answers.
-		e.slow.add(mostSlow, slowOver)
-		c.fit(e, j)
+		c.fit(e, j, mostSlow, 0)
 	}
-	j.avoid = e
 	switch {
 	case over || j.ended || o == Done:
 		c.forget(j)
@@ -533,8 +566,8 @@
 
 // couldGo tells whether a further dispatch is possible at all.
 func (c *Controller) couldGo(j *job) bool {
-	may := func(e *engine) bool { return c.mayGoTo(j, e) }
-	return j.sent < c.set.MaxDispatches && slices.ContainsFunc(c.engines, may)
+	return j.sent < c.set.MaxDispatches &&
+		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
 }
 
 // judge keeps an engine's health by its symptoms.
@@ -549,27 +582,22 @@
 			c.host.Log(fmt.Sprintf("engine %s answers again", e.id))
 		}
 	case Errored:
-		// Guards against an engine that fails jobs fast and so seems to have room: two errors in a row, or one
-		// in three of late, are far above what a sound engine shows.
+		// Guards against an engine that fails jobs fast and so seems to have room: two in a row, or a third.
 		e.answered, e.silent = c.now, 0
 		e.errors = e.errors*0.8 + 0.2
 		if e.errors > 0.35 || e.suspected {
 			c.suspect(e, "errors")
 		}
 	case TimedOut, Recalled:
-		// Guards against an engine that takes jobs and answers none: three ended without an answer, all sent
-		// since the last one. Jobs on the same tables in a row count once: they may stand behind one load.
-		if d.sent > e.answered && !j.ended && (e.silent == 0 || e.unread != j.tables) {
+		// Guards against an engine that takes jobs and answers none: three, all sent since its last answer.
+		if d.sent > e.answered && !j.ended {
 			e.silent++
-			e.unread = j.tables
 		}
 		if e.silent >= 3 {
 			c.suspect(e, "silence")
 		}
 	case NoConnection, ConnectionLost:
 		c.suspect(e, o.String())
-	case TurnedAway:
-		e.bound = math.Max(1, e.bound*0.7)
 	}
 }
 
@@ -587,79 +615,77 @@
 	e.trial = c.now + e.wait
 }
 
-// mostSuspected is when a cause common to the engines is likelier than as many faults; then all are used.
-func (c *Controller) mostSuspected() bool {
-	up, bad := 0, 0
-	for _, e := range c.engines {
-		if e.state == Up && e.suspected {
-			bad++
-		}
-		if e.state == Up {
-			up++
-		}
-	}
-	return 3*bad > 2*up
-}
-
-// An answer counts at most as four times the best latency, so that a bad plan or a wait behind a load does
-// not shrink the bound by itself; the slowness spans about a bound's worth of answers.
+// One bad plan or wait behind a load shrinks no bound; slowness spans about a bound's worth of answers.
 const mostSlow, slowOver = 4, 20
 
 // learnOver is how many jobs the running means span: seconds of a quick type.
 const learnOver = 60
 
 // learn takes in a done job: E, the usual work and memory, and the engine's bound.
-func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory float64) {
+func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
 	r := j.row
 	x := float64(took) / j.unitCost()
 	if r.unit.n > 5 {
 		x = math.Min(x, 4*r.unit.value) // one bad plan does not move the mean
 	}
 	r.unit.add(x, learnOver)
-	switch {
-	case work > 0:
-		r.work.add(float64(work), learnOver)
-	case j.cost > 0:
-		r.work.add(j.cost, learnOver)
-	case r.best > 0:
-		r.work = mean{r.best * r.Threads, 1} // the best latency, on all threads
-	default:
+	if used := cmp.Or(float64(work), j.cost, r.best*r.Threads); used > 0 {
+		r.work.add(used, learnOver)
+	} else {
 		r.work.add(float64(took)*r.Threads, learnOver)
 	}
 	if memory > 0 && j.memory > 0 {
 		r.memory.add(memory/j.memory, learnOver)
 	}
-	// The best latency is forgotten with a time of 60 s, or one lucky time would shrink every bound for good.
-	// Before the first there is nothing to forget: the clock starts anywhere.
+	// The best latency is forgotten in 60 s, or one lucky time would shrink every bound for good.
 	if r.best > 0 {
 		r.best = math.Min(r.unit.value, r.best*math.Exp((c.now-r.bestAt).Seconds()/60))
-	} else if r.unit.n >= 30 {
+	} else if r.unit.n >= 30 || j.cost > 0 && r.unit.n >= 5 {
 		r.best = r.unit.value
 	}
 	r.bestAt = c.now
-	if r.best > 0 {
-		d.engine.slow.add(math.Min(float64(took)/(j.unitCost()*r.best), mostSlow), slowOver)
-		c.fit(d.engine, j)
+	best := r.best
+	if j.cost > 0 && (best == 0 || best > 1) { // until much is learned, a told cost is the time if alone
+		best = 1 + math.Max(best-1, 0)*r.unit.n/learnOver
+	}
+	if best > 0 {
+		c.fit(d.engine, j, math.Min(float64(took)/(j.unitCost()*best), mostSlow), full)
 	}
 }
 
 // fit widens or shrinks an engine's bound.
 // Target is the slowness at which the bound stands still: at 1.6 an engine is busy and not yet thrashing;
-// where no cost is told the best mean is a lucky one and lies lower by about a quarter. Least keeps a slow
-// engine tried; most is two threads a core for a single controller, as no mix gains beyond, and up to twice
-// that for many, since their traffic may be uneven.
-func (c *Controller) fit(e *engine, j *job) {
+// where no cost is told the best mean is a lucky one and lies lower. Least keeps a slow engine tried; most is
+// two threads a core for a single controller, and twice that for many, since their traffic may be uneven.
+func (c *Controller) fit(e *engine, j *job, slow, full float64) {
 	const least, most = 0.25, 2.0
 	target := 1.6
 	if j.cost == 0 {
 		target = 2.0
 	}
-	step := j.row.Threads / math.Max(e.bound, 1) // about a thread for each bound's worth of answers
-	push := math.Max(3*(target-e.slow.value)/target, -1)
-	if push < 0 || e.threads+j.row.Threads+1 >= e.bound {
-		e.bound += step * math.Min(push, 1)
+	push := func(slow, bound float64, binds bool) float64 {
+		p := math.Max(math.Min(3*(target-slow)/target, 1), -1)
+		if p > 0 && !binds {
+			return 0
+		}
+		// about a thread for each bound's worth of answers
+		return p * math.Min(j.row.Threads/math.Max(bound, 1)/bound, 0.25)
+	}
+	slow = math.Max(slow, math.Min(target*full/1.25, mostSlow))
+	e.slow.add(slow, slowOver)
+	c.slow.add(slow, slowOver)
+	bound, threads, _ := c.fleet()
+	e.bound *= 1 + push(c.slowness(e), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
+	all := 1 + push(c.slow.value, bound, threads+j.row.Threads/2 >= bound)
+	for _, e := range c.engines {
+		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), most*e.cores*2/(1+c.many))
 	}
-	e.bound = math.Min(math.Max(e.bound, least*e.cores/c.many), most*e.cores*2/(1+c.many))
+}
+
+// slowness is an engine's latency over the best; with few or old answers from it, that of all engines.
+func (c *Controller) slowness(e *engine) float64 {
+	weight := e.slow.n * math.Exp((e.answered-c.now).Seconds()/10)
+	return (weight*e.slow.value + 3*c.slow.value) / (weight + 3)
 }
 
 // end gives the final answer: a throttling reply where it is true that a retry does no harm.
@@ -684,28 +710,22 @@
 	}
 	// A line is kept while its key may rest.
 	if len(c.jobs) == 0 {
-		for key, l := range c.lines {
-			if c.now >= l.rests {
-				delete(c.lines, key)
-			}
-		}
+		maps.DeleteFunc(c.lines, func(_ Key, l *line) bool { return c.now >= l.rests })
 	}
 }
 
 func (c *Controller) ClientGone(now time.Duration, id JobID) {
 	c.now = now
-	j := c.jobs[id]
-	if j == nil {
-		return
-	}
-	j.ended = true
-	c.held = without(c.held, j)
-	if j.out == nil {
-		c.forget(j)
-	} else {
-		c.recall(j)
+	if j := c.jobs[id]; j != nil {
+		j.ended = true
+		c.held = without(c.held, j)
+		if j.out == nil {
+			c.forget(j)
+		} else {
+			c.recall(j)
+		}
+		c.release()
 	}
-	c.release()
 }
 
 func (c *Controller) recall(j *job) {
@@ -717,25 +737,17 @@
 
 // drain is the seconds that the held jobs keep all bounds busy.
 func (c *Controller) drain() float64 {
-	work, threads := 0.0, 0.0
+	work := 0.0
 	for _, j := range c.held {
 		work += c.expect(j).Seconds() * j.row.Threads
 	}
-	for _, e := range c.engines {
-		if e.state == Up && !e.suspected {
-			threads += e.bound
-		}
-	}
-	return work / math.Max(threads, 1)
+	bound, _, _ := c.fleet()
+	return work / math.Max(bound, 1)
 }
 
-// shed refuses held jobs of least value for their thread time while more is held than leaves in useful time,
-// half the shortest SLA time (all of it left more late). Of equals the oldest goes, the likeliest to be late.
+// shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
+// leaves in useful time, half the shortest SLA time (all of it left more late).
 func (c *Controller) shed() {
-	limit := math.Inf(1)
-	for _, r := range c.rows {
-		limit = math.Min(limit, r.SLATime.Seconds()/2)
-	}
 	value := func(j *job) float64 {
 		v := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
 		if j.over {
@@ -743,7 +755,7 @@
 		}
 		return v
 	}
-	for len(c.held) > 1 && c.drain() > limit {
+	for len(c.held) > 1 && c.drain() > c.shortest.Seconds()/2 {
 		c.end(slices.MinFunc(c.held, func(a, b *job) int {
 			return cmp.Or(cmp.Compare(value(a), value(b)), cmp.Compare(a.seq, b.seq))
 		}))
@@ -756,16 +768,7 @@
 		c.host.Follow(true)
 		return
 	}
-	c.sweep()
-	c.release()
-	c.ticking = len(c.jobs) > 0
-	if c.ticking {
-		c.host.WakeAfter(sweepTimer, sweepEvery)
-	}
-}
-
-// sweep refuses held jobs that are out of time and looks at those that are out.
-func (c *Controller) sweep() {
+	// Held jobs that are out of time are refused, and those that are out looked at.
 	for _, j := range slices.Clone(c.held) {
 		if c.hopeless(j) {
 			c.end(j)
@@ -778,6 +781,10 @@
 			}
 		}
 	}
+	c.release()
+	if c.ticking = len(c.jobs) > 0; c.ticking {
+		c.host.WakeAfter(sweepTimer, sweepEvery)
+	}
 }
 
 // hopeless is the design's refusal, and its exception: where a late answer earns nothing, the SLA time stands
@@ -789,31 +796,25 @@
 
 // stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
-	d := j.out
-	age, e := c.now-d.sent, d.expected
-	if j.d-c.now < e {
+	d, e := j.out, j.out.expected
+	switch {
+	case j.d-c.now < e:
 		return false
-	}
-	if d.share > 0.02 {
-		left := float64(d.noted-d.sent)*(1-d.share)/d.share - float64(c.now-d.noted)
-		return left > 4*float64(e)
-	}
-	if j.cost == 0 {
+	case d.share > 0.02:
+		return float64(d.noted-d.sent)*(1-d.share)/d.share-float64(c.now-d.noted) > 4*float64(e)
+	case j.cost == 0:
 		e *= 2
 	}
-	return age > 3*e+300*time.Millisecond
+	return c.now-d.sent > 3*e+300*time.Millisecond
 }
 
 func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
-	c.now = now
-	j := c.jobs[id]
-	if j != nil && j.out != nil && n == j.sent-1 && topic == Progress {
+	if j := c.jobs[id]; j != nil && j.out != nil && n == j.sent-1 && topic == Progress {
 		j.out.share, j.out.noted = level, now
 	}
 }
 
 func (c *Controller) AnswerBegun(now time.Duration, id JobID, n int, eid EngineID, took time.Duration) {
-	c.now = now
 	if j := c.jobs[id]; j != nil && j.out != nil && n == j.sent-1 {
 		j.out.begun = true
 	}
