Credit for unused bounds, recall of jobs without told cost counts from the SLA time

Covers any bunching at small controllers; could harm where many bunch at once, so there is no credit while latency is above 1.25 of its best.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,27 +95,29 @@
 
 // Controller is one instance; it shares nothing with others.
 type Controller struct {
-	host       Host
-	set        Settings
-	rng        *rand.Rand
-	now        time.Duration
-	byName     map[TypeName]*row
-	customers  map[CustomerID]*customer
-	engines    []*engine // by id, so that no order depends on a map
-	byID       map[EngineID]*engine
-	jobs       map[JobID]*job
-	held       []*job
-	lines      map[Key]*line
-	taken      []time.Duration // rule 7: jobs taken and further dispatches in the window
-	further    []time.Duration
-	seq        int
-	ticking    bool
-	whole      bool          // the list being read is a whole one
-	widest     float64       // threads of the widest type
-	shortest   time.Duration // least SLA time
-	many       float64       // controllers
-	homes      float64       // engines that the bounds are dealt out to
-	slow, full mean          // as an engine's, over all of them
+	host           Host
+	set            Settings
+	rng            *rand.Rand
+	now            time.Duration
+	byName         map[TypeName]*row
+	customers      map[CustomerID]*customer
+	engines        []*engine // by id, so that no order depends on a map
+	byID           map[EngineID]*engine
+	jobs           map[JobID]*job
+	held           []*job
+	lines          map[Key]*line
+	taken, further []time.Duration // rule 7: jobs taken and further dispatches in the window
+	seq            int
+	ticking, whole bool          // whole: the list being read is
+	widest         float64       // threads of the widest type
+	shortest       time.Duration // least SLA time
+	many           float64       // controllers
+	homes          float64       // engines that the bounds are dealt out to
+	bound, threads float64       // as an engine's, over all in use
+	common         bool          // most are suspected
+	credit         float64       // thread seconds of the bounds left unused of late, when metered
+	metered        time.Duration
+	slow, full     mean // as an engine's, over all of them
 }
 
 const sweepTimer, askTimer TimerID = 1, 2
@@ -223,7 +225,7 @@
 	from := c.customers[cust]
 	j.over = from != nil && from.perS > 0 && !from.admit(now)
 	c.hold(j)
-	if c.hopeless(j) { // as one that expires on arrival
+	if c.hopeless(j) {
 		c.end(j)
 		return
 	}
@@ -302,7 +304,7 @@
 
 // release sends held jobs in order while an engine has room. It is the only way to a dispatch.
 func (c *Controller) release() {
-	for c.anyRoom() {
+	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		slices.SortFunc(c.held, c.order)
 		var to *engine
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
@@ -312,41 +314,42 @@
 		if to == nil {
 			return
 		}
-		first := c.held[at]
+		c.send(c.held[at], to)
 		c.held = slices.Delete(c.held, at, at+1)
-		c.send(first, to)
 	}
 }
 
-// fleet sums up the engines in use. When most are suspected, a cause common to them is likelier than as many
-// faults; then all are used.
-func (c *Controller) fleet() (bound, threads float64, common bool) {
+// fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
+// suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
+// narrow bounds of many controllers when jobs bunch, and there is none in congestion.
+func (c *Controller) fleet() {
+	most := c.widest * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
+	c.credit = math.Max(0, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
 	var up, bad, badBound, badThreads float64
+	c.metered, c.bound, c.threads = c.now, 0, 0
 	for _, e := range c.engines {
 		if e.state == Up {
-			up, bound, threads = up+1, bound+e.bound, threads+e.threads
+			up, c.bound, c.threads = up+1, c.bound+e.bound, c.threads+e.threads
 			if e.suspected {
 				bad, badBound, badThreads = bad+1, badBound+e.bound, badThreads+e.threads
 			}
 		}
 	}
-	if common = 3*bad > 2*up; common {
-		return bound, threads, true
+	if c.common = 3*bad > 2*up; !c.common {
+		c.bound, c.threads = c.bound-badBound, c.threads-badThreads
 	}
-	return bound - badBound, threads - badThreads, false
 }
 
-// anyRoom guards against many controllers that each put one job on every engine: where bounds are under a
-// thread, all that is out keeps to their sum, or is one job.
-func (c *Controller) anyRoom() bool {
-	bound, threads, _ := c.fleet()
-	return len(c.held) > 0 && (threads == 0 || threads+0.5 <= bound)
+// roomFor guards against many controllers that each put one job on every engine: where bounds are under a
+// thread, all that is out keeps to their sum and the credit, or is one job.
+func (c *Controller) roomFor(threads float64) bool {
+	return c.threads == 0 || c.threads+threads/2 <= c.bound+c.credit
 }
 
 // deal guards against bounds narrower than a job, which are none: they are dealt out anew to so few engines
 // as have room for the widest job each, the homes. By number, controllers start from places spread evenly.
-func (c *Controller) deal(bound float64) {
-	c.homes = math.Max(1, math.Min(math.Ceil(bound/c.widest), float64(len(c.engines))))
+func (c *Controller) deal() {
+	c.homes = math.Max(1, math.Min(math.Ceil(c.bound/c.widest), float64(len(c.engines))))
 	first := int(float64(c.set.Number) * float64(len(c.engines)) / c.many)
 	for i, e := range c.engines {
 		e.dealt = 0
@@ -368,18 +371,16 @@
 		return nil, false
 	}
 	most := math.Inf(-1)
-	bound, threads, ignoreHealth := c.fleet()
-	if threads > 0 && threads+j.row.Threads/2 > bound {
+	if waits = true; !c.roomFor(j.row.Threads) {
 		return nil, true
 	}
-	c.deal(bound)
-	waits = true
+	c.deal()
 	for _, e := range c.engines {
 		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
 			waits = waits && e.state != Up
 			continue
 		}
-		well := !e.suspected || ignoreHealth || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != RunOnce
+		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != RunOnce
 		if score := e.dealt - e.threads + c.liking(j, e); score > most && well && e.roomFor(j.row.Threads) {
 			best, most = e, score
 		}
@@ -673,10 +674,10 @@
 	}
 	slow = math.Max(slow, math.Min(target*full/1.25, mostSlow))
 	e.slow.add(slow, slowOver)
-	c.slow.add(slow, slowOver)
-	bound, threads, _ := c.fleet()
+	c.slow.add(slow, 10)
+	c.fleet()
 	e.bound *= 1 + push(c.slowness(e), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
-	all := 1 + push(c.slow.value, bound, threads+j.row.Threads/2 >= bound)
+	all := 1 + push(c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
 	for _, e := range c.engines {
 		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), most*e.cores*2/(1+c.many))
 	}
@@ -741,8 +742,7 @@
 	for _, j := range c.held {
 		work += c.expect(j).Seconds() * j.row.Threads
 	}
-	bound, _, _ := c.fleet()
-	return work / math.Max(bound, 1)
+	return work / math.Max(c.bound, 1)
 }
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
@@ -787,8 +787,7 @@
 	}
 }
 
-// hopeless is the design's refusal, and its exception: where a late answer earns nothing, the SLA time stands
-// in the place of the deadline.
+// hopeless is the design's refusal; where a late answer earns nothing, the SLA time stands for the deadline.
 func (c *Controller) hopeless(j *job) bool {
 	half := max(c.expect(j)/2, 2*sweepEvery)
 	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < min(half, j.row.SLATime/2)
@@ -797,13 +796,14 @@
 // stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d, e := j.out, j.out.expected
+	if j.cost == 0 { // a mean is no estimate: most that pass it are only large
+		e = max(e, j.row.SLATime)
+	}
 	switch {
 	case j.d-c.now < e:
 		return false
 	case d.share > 0.02:
 		return float64(d.noted-d.sent)*(1-d.share)/d.share-float64(c.now-d.noted) > 4*float64(e)
-	case j.cost == 0:
-		e *= 2
 	}
 	return c.now-d.sent > 3*e+300*time.Millisecond
 }
@@ -821,7 +821,6 @@
 }
 
 // No probe is sent, as answers tell as much and cost nothing, and peers are told nothing.
-
 func (c *Controller) ProbeAnswered(now time.Duration, id EngineID, o Outcome, took time.Duration, load Load) {
 }
 
