Bad plans end by the told cost, best latency known after ten answers

Cause: in congestion E swells, bad plans lived three swollen E and made it worse; without told cost a controller with two jobs a second knew no best latency for 15 s and its bounds stood still; jobs behind one of their key counted as work that waits for room. Covers any job that overstays; could harm where told costs lie far too low.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -617,10 +617,8 @@
 }
 
 // One bad plan or wait behind a load shrinks no bound; slowness spans about a bound's worth of answers.
-const mostSlow, slowOver = 4, 20
-
-// learnOver is how many jobs the running means span: seconds of a quick type.
-const learnOver = 60
+// The means of a type span learnOver jobs, seconds of a quick type.
+const mostSlow, slowOver, learnOver = 4, 20, 60
 
 // learn takes in a done job: E, the usual work and memory, and the engine's bound.
 func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
@@ -639,9 +637,9 @@
 		r.memory.add(memory/j.memory, learnOver)
 	}
 	// The best latency is forgotten in 60 s, or one lucky time would shrink every bound for good.
-	if r.best > 0 {
+	if r.best > 0 && (j.cost > 0 || r.unit.n > 30) {
 		r.best = math.Min(r.unit.value, r.best*math.Exp((c.now-r.bestAt).Seconds()/60))
-	} else if r.unit.n >= 30 || j.cost > 0 && r.unit.n >= 5 {
+	} else if r.unit.n >= 10 || j.cost > 0 && r.unit.n >= 5 {
 		r.best = r.unit.value
 	}
 	r.bestAt = c.now
@@ -654,10 +652,9 @@
 	}
 }
 
-// fit widens or shrinks an engine's bound.
-// Target is the slowness at which the bound stands still: at 1.6 an engine is busy and not yet thrashing;
-// where no cost is told the best mean is a lucky one and lies lower. Least keeps a slow engine tried; most is
-// two threads a core for a single controller, and twice that for many, since their traffic may be uneven.
+// fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
+// and not yet thrashing; where no cost is told the best mean is a lucky one and lies lower. Least keeps a slow
+// engine tried; most is two threads a core for one controller, twice that for many with uneven traffic.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
 	const least, most = 0.25, 2.0
 	target := 1.6
@@ -736,11 +733,13 @@
 	}
 }
 
-// drain is the seconds that the held jobs keep all bounds busy.
+// drain is the seconds that the held jobs keep all bounds busy; those behind one of their key wait for that.
 func (c *Controller) drain() float64 {
 	work := 0.0
 	for _, j := range c.held {
-		work += c.expect(j).Seconds() * j.row.Threads
+		if j.line == nil || j.line.jobs[0] == j {
+			work += c.expect(j).Seconds() * j.row.Threads
+		}
 	}
 	return work / math.Max(c.bound, 1)
 }
@@ -796,8 +795,9 @@
 // stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d, e := j.out, j.out.expected
-	if j.cost == 0 { // a mean is no estimate: most that pass it are only large
-		e = max(e, j.row.SLATime)
+	// Told a cost, bad plans do not live longer when E swells in congestion.
+	if e = min(e, time.Duration(1.5*j.cost/j.row.Threads)); j.cost == 0 {
+		e = max(d.expected, j.row.SLATime) // a mean is no estimate: most that pass it are only large
 	}
 	switch {
 	case j.d-c.now < e:
