--- a/logic/logic.go
+++ b/logic/logic.go
@@ -323,7 +323,7 @@
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
 // narrow bounds of many controllers when jobs bunch, and there is none in congestion.
 func (c *Controller) fleet() {
-	most := c.widest * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
+	most := c.widest / 2 * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
 	c.credit = math.Max(0, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
 	var up, bad, badBound, badThreads float64
 	c.metered, c.bound, c.threads = c.now, 0, 0
@@ -795,9 +795,8 @@
 // stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d, e := j.out, j.out.expected
-	// Told a cost, bad plans do not live longer when E swells in congestion.
 	if e = min(e, time.Duration(1.5*j.cost/j.row.Threads)); j.cost == 0 {
-		e = max(d.expected, j.row.SLATime) // a mean is no estimate: most that pass it are only large
+		e = max(d.expected, j.row.SLATime) // a mean is no estimate; told a cost, bad plans do not outlive congestion
 	}
 	switch {
 	case j.d-c.now < e:
