--- a/logic/logic.go
+++ b/logic/logic.go
@@ -229,20 +229,20 @@
 	c.release()
 	c.shed()
 	if !c.ticking {
-		c.ticking = true
 		c.host.WakeAfter(sweepTimer, sweepEvery)
 	}
+	c.ticking = true
 }
 
 // admit takes one of the customer's tokens, which gather for a second, so that a short bunch is not over.
 func (cu *customer) admit(now time.Duration) bool {
 	cu.tokens = math.Min(cu.tokens+cu.perS*(now-cu.filled).Seconds(), math.Max(1, cu.perS))
 	cu.filled = now
-	admitted := cu.tokens >= 1
-	if admitted {
-		cu.tokens--
+	if cu.tokens < 1 {
+		return false
 	}
-	return admitted
+	cu.tokens--
+	return true
 }
 
 // expect is E: told cost times learned latency per cost, or mean latency; the SLA time before either.
@@ -318,10 +318,10 @@
 
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
-// narrow bounds of many controllers when jobs bunch, and there is none in congestion.
+// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
 func (c *Controller) fleet() {
 	most := c.widest / 2 * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
-	c.credit = math.Max(0, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
+	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
 	var up, bad, badBound, badThreads float64
 	c.metered, c.bound, c.threads = c.now, 0, 0
 	for _, e := range c.engines {
@@ -339,8 +339,12 @@
 
 // roomFor guards against many controllers that each put one job on every engine: where bounds are under a
 // thread, all that is out keeps to their sum and the credit, or is one job, and one that passes wider ones.
+// When engines are lost one each is too much: at twice the best latency a wide one waits for what is owed.
 func (c *Controller) roomFor(threads float64) bool {
-	return c.threads == 0 || c.threads+threads/2 <= c.bound+c.credit ||
+	if c.threads == 0 {
+		return c.credit >= 0 || c.slow.value < 2 || threads <= math.Max(c.bound, 1)
+	}
+	return c.threads+threads/2 <= c.bound+math.Max(c.credit, 0) ||
 		!slices.ContainsFunc(c.engines, func(e *engine) bool {
 			return slices.ContainsFunc(e.out, func(j *job) bool { return j.row.Threads <= threads })
 		})
@@ -404,9 +408,7 @@
 	return like
 }
 
-// ---- the rules' guards, each in one place; release asks them all
-
-// mayLeave keeps rules 5 and 7 and the number of dispatches.
+// The rules' guards follow, each in one place; mayLeave keeps rules 5 and 7 and the number of dispatches.
 func (c *Controller) mayLeave(j *job) bool {
 	// The one that has the turn may go again without the rest.
 	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
@@ -473,7 +475,6 @@
 	return work <= turns*part
 }
 
-// usualWork is what rule 4 counts for a job: the usual work of its type.
 func (c *Controller) usualWork(j *job) time.Duration {
 	if j.row.work.n == 0 {
 		return time.Duration(float64(j.row.SLATime) * j.row.Threads)
@@ -571,7 +572,6 @@
 		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
 }
 
-// judge keeps an engine's health by its symptoms.
 func (c *Controller) judge(j *job, d *dispatch, o Outcome) {
 	e := d.engine
 	switch o {
