--- a/logic/logic.go
+++ b/logic/logic.go
@@ -653,8 +653,8 @@
 }
 
 // fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
-// and not thrashing; where no cost is told the best mean is a lucky one and lies lower. Least keeps a slow
-// engine tried; most is two threads a core for one controller, twice that for many with uneven traffic.
+// and not thrashing, at 1.5 all; where no cost is told the best mean is a lucky one and lies lower. Least keeps
+// a slow engine tried; most is two threads a core for one controller, twice that for many of uneven traffic.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
 	const least, most = 0.25, 2.0
 	target := 1.6
@@ -674,7 +674,7 @@
 	c.slow.add(slow, 10)
 	c.fleet()
 	e.bound *= 1 + push(c.slowness(e), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
-	all := 1 + push(c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
+	all := 1 + push(1.07*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
 	for _, e := range c.engines {
 		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), most*e.cores*2/(1+c.many))
 	}
