--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,7 +294,6 @@
 	return 1
 }
 
-// order is turn, then least slack, then arrival.
 func (c *Controller) order(a, b *job) int {
 	return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(a.slack, b.slack), cmp.Compare(a.seq, b.seq))
 }
@@ -400,6 +399,9 @@
 	if c.slow.value > 0 {
 		like -= c.slowness(e) / c.slow.value
 	}
+	if e.location == c.set.Location {
+		like += 0.5 // crossing costs little, so only near-equals
+	}
 	for _, o := range e.out {
 		if o.row.HoldsLoad && o.tables == j.tables && (j.row.StandsBy || j.row.HoldsLoad) {
 			like -= e.cores // it would stand still there
@@ -566,7 +568,6 @@
 	c.release()
 }
 
-// couldGo tells whether a further dispatch is possible at all.
 func (c *Controller) couldGo(j *job) bool {
 	return j.sent < c.set.MaxDispatches &&
 		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
@@ -620,7 +621,6 @@
 // The means of a type span learnOver jobs, seconds of a quick type.
 const mostSlow, slowOver, learnOver = 4, 20, 60
 
-// learn takes in a done job: E, the usual work and memory, and the engine's bound.
 func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
 	r := j.row
 	x := float64(took) / j.unitCost()
