--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,137 @@
+// Package config is the one place where configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+)
+
+// Config is all that a controller is told at its start.
+type Config struct {
+	Name     string
+	Listen   string // where clients connect
+	Feed     string // where the list of engines comes from
+	Known    json.RawMessage
+	Seed     int64
+	Cores    float64
+	MemoryMB int64
+	Sockets  int // file descriptors
+	Settings Settings
+}
+
+// FromEnvironment reads the file that BALANCER_CONFIG names; BALANCER_NAME and BALANCER_LISTEN go before it.
+func FromEnvironment() (Config, error) {
+	path := os.Getenv("BALANCER_CONFIG")
+	if path == "" {
+		return Config{}, faulty("BALANCER_CONFIG", path, "the path of the configuration file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	return Read(raw, os.Getenv("BALANCER_NAME"), os.Getenv("BALANCER_LISTEN"))
+}
+
+// Read takes the file's text; a name and an address to listen on that are not empty go before the file's.
+func Read(raw []byte, name, listen string) (Config, error) {
+	// What a small machine of ours has, where nothing is said.
+	c := Config{Cores: 1, MemoryMB: 192, Sockets: 1024}
+	var file struct {
+		Name, Listen, Feed, Seed string
+		Known, Settings          json.RawMessage
+		Limits                   struct {
+			Cores    *float64
+			MemoryMB *int64 `json:"memory_mb"`
+			Sockets  *int
+		}
+	}
+	if err := decode("", raw, &file); err != nil {
+		return c, err
+	}
+	c.Name, c.Listen, c.Feed, c.Known = file.Name, file.Listen, file.Feed, file.Known
+	override(&c.Name, name)
+	override(&c.Listen, listen)
+	set(&c.Cores, file.Limits.Cores)
+	set(&c.MemoryMB, file.Limits.MemoryMB)
+	set(&c.Sockets, file.Limits.Sockets)
+	seed, seedErr := strconv.ParseUint(file.Seed, 16, 64)
+	c.Seed = int64(seed)
+	if len(file.Settings) == 0 {
+		return c, faulty("settings", "", "an object")
+	}
+	if len(c.Known) == 0 {
+		return c, faulty("known", "", "the events of the control feed up to now")
+	}
+	var err error
+	if c.Settings, err = ReadSettings(file.Settings); err != nil {
+		return c, err
+	}
+	s := &c.Settings
+	return c, errors.Join(
+		check(c.Name != "", "name", c.Name, "a name"),
+		check(isAddress(c.Listen), "listen", c.Listen, "an address such as 127.0.0.1:5050"),
+		check(isAddress(c.Feed), "feed", c.Feed, "an address such as 127.0.0.1:7070"),
+		check(seedErr == nil, "seed", file.Seed, "up to 16 hex digits"),
+		check(c.Cores > 0 && c.Cores <= 1024, "limits.cores", c.Cores, "above 0 to 1024"),
+		check(c.MemoryMB >= 32, "limits.memory_mb", c.MemoryMB, "32 or more"),
+		check(c.Sockets >= 64, "limits.sockets", c.Sockets, "64 or more"),
+		check(s.ConnectTimeout > 0, "settings.permissions.connect_timeout", s.ConnectTimeout, "above 0"),
+		check(s.IdleClose >= 0, "settings.permissions.idle_close", s.IdleClose, "0 (never) or above"),
+		check(s.Streams > 0, "settings.permissions.streams_per_conn", s.Streams, "1 or more"),
+		check(s.OpenCap >= 0, "settings.permissions.open_cap", s.OpenCap, "0 (no limit) or above"))
+}
+
+func override(value *string, with string) {
+	if with != "" {
+		*value = with
+	}
+}
+
+func set[T any](value *T, with *T) {
+	if with != nil {
+		*value = *with
+	}
+}
+
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
+
+func check(holds bool, key string, value any, allowed string) error {
+	if holds {
+		return nil
+	}
+	return faulty(key, value, allowed)
+}
+
+func faulty(key string, value any, allowed string) error {
+	if d, is := value.(time.Duration); is {
+		value = int64(d)
+	}
+	return fmt.Errorf("%s: %q is not allowed, wanted: %s", key, fmt.Sprint(value), allowed)
+}
+
+// decode names the key of a value that has the wrong form.
+func decode(at string, raw []byte, into any) error {
+	err := json.Unmarshal(raw, into)
+	var form *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &form):
+		key := form.Field
+		if at != "" {
+			key = at + "." + key
+		}
+		return faulty(key, form.Value, form.Type.String())
+	case err != nil && at == "":
+		return fmt.Errorf("configuration: %w", err)
+	case err != nil:
+		return fmt.Errorf("%s: %w", at, err)
+	}
+	return nil
+}
--- a/internal/simwire/settings.go
+++ b/config/settings.go
@@ -1,4 +1,4 @@
-package simwire
+package config
 
 import (
 	"encoding/json"
@@ -8,8 +8,19 @@
 	"yarrowbarrow/logic"
 )
 
-// readSettings takes the figures that the module reads out of the wire's settings; other keys are passed over.
-func readSettings(raw json.RawMessage) (s logic.Settings, columns []string, err error) {
+// Settings are the operators' figures: those of the module, and those of the sockets round it.
+type Settings struct {
+	Logic          logic.Settings
+	Columns        []string // of a load report, in order
+	ConnectTimeout time.Duration
+	IdleClose      time.Duration
+	Streams        int // jobs on one connection to an engine
+	OpenCap        int // jobs open at once, 0 for no limit
+	Probes         bool
+}
+
+// ReadSettings takes the figures that are read out of the settings object; other keys are passed over.
+func ReadSettings(raw json.RawMessage) (Settings, error) {
 	var c struct {
 		Balancers, Rank int
 		Classes         []struct {
@@ -50,6 +61,11 @@
 			MaxRetryAfter time.Duration `json:"max_retry_after"`
 			MayCancel     bool          `json:"may_cancel"`
 			RetryAfter    bool          `json:"retry_after"`
+			Connect       time.Duration `json:"connect_timeout"`
+			IdleClose     time.Duration `json:"idle_close"`
+			Streams       int           `json:"streams_per_conn"`
+			OpenCap       int           `json:"open_cap"`
+			Probes        bool
 		}
 		Safety struct {
 			BudgetWindow    time.Duration `json:"budget_window"`
@@ -64,10 +80,10 @@
 		Tick time.Duration
 		Zone logic.Location
 	}
-	if err = json.Unmarshal(raw, &c); err != nil {
-		return s, nil, fmt.Errorf("field config: %w", err)
+	if err := decode("settings", raw, &c); err != nil {
+		return Settings{}, err
 	}
-	s = logic.Settings{
+	s := logic.Settings{
 		Controllers: c.Balancers, Number: c.Rank, Location: c.Zone, OverShareValue: c.OverShareWorth,
 		ListOnRequest: c.Discovery == "on_request", MayRecall: c.Permissions.MayCancel,
 		GrantsCount: c.FamilyInfo.GrantsCount, PriorityHeeded: c.FamilyInfo.RanksHeeded,
@@ -84,7 +100,8 @@
 		repeat, known := map[string]logic.Repeat{"retryable": logic.Restartable, "dedup": logic.Keyed,
 			"fragile": logic.RunOnce}[class.Repeat]
 		if !known {
-			return s, nil, fmt.Errorf("field config.classes.repeat: %q is not known", class.Repeat)
+			return Settings{}, faulty(fmt.Sprintf("settings.classes[%d].repeat", n), class.Repeat,
+				"retryable, dedup or fragile")
 		}
 		t := logic.Type{Name: logic.TypeName(class.Name), SLATime: class.Aim, SLAStretch: class.AimStretch,
 			JobTimeout: class.Deadline, Value: class.Gain, LateValue: class.LateWorth, Repeat: repeat,
@@ -101,7 +118,9 @@
 	for _, org := range c.Orgs {
 		s.Customers = append(s.Customers, logic.Customer{Name: org.Name, JobsPerS: org.QuotaRPS})
 	}
-	return s, c.LoadReport.Columns, nil
+	return Settings{Logic: s, Columns: c.LoadReport.Columns, ConnectTimeout: c.Permissions.Connect,
+		IdleClose: c.Permissions.IdleClose, Streams: c.Permissions.Streams, OpenCap: c.Permissions.OpenCap,
+		Probes: c.Permissions.Probes}, nil
 }
 
 // at is the n-th value of a list that may be shorter, or absent.
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,202 @@
+// Package controller carries out the decisions of package logic on real sockets: it takes jobs from clients,
+// sends them to engines, follows the control feed, and answers each job exactly once.
+//
+// One lock guards the module, the job table and the clock. Whoever holds it may queue output and start a dial,
+// but never flushes, dials or logs: each connection has a writer of its own, and logging follows the unlock.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"yarrowbarrow/config"
+	"yarrowbarrow/logic"
+)
+
+// Phase is where a controller stands between start and exit.
+type Phase int
+
+const (
+	Starting Phase = iota
+	Ready
+	Draining // told to stop: still takes jobs for a while, answers all, and goes
+	Stopped
+)
+
+func (p Phase) String() string { return [...]string{"starting", "ready", "draining", "stopped"}[p] }
+
+// Controller is one running controller.
+type Controller struct {
+	cfg   config.Config
+	log   *slog.Logger
+	born  time.Time
+	ended chan error // one value ends Run
+
+	mu       sync.Mutex
+	now      time.Duration // Unix time at the start and what the monotonic clock added since
+	phase    Phase
+	logic    *logic.Controller
+	rng      *rand.Rand // for pauses between tries to reach the feed
+	jobs     map[logic.JobID]*job
+	clients  map[*client]bool
+	engines  map[logic.EngineID]*engine
+	probes   map[string]*probe
+	links    int // connections to engines, dials among them
+	feed     *feed
+	timers   timers
+	timer    *time.Timer
+	queue    []func()
+	lines    []slog.Record
+	counts   [counters]int64
+	bytes    int64 // of statements, pages and unsent output
+	panics   []time.Duration
+	listener netpoll.EventLoop
+}
+
+// New prepares a controller; Run starts it.
+func New(cfg config.Config, log *slog.Logger) *Controller {
+	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
+		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[*client]bool{},
+		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{}}
+	c.feed = &feed{c: c}
+	return c
+}
+
+// Run serves until the context ends and all that is owed is answered, or until an error that it can't survive.
+func (c *Controller) Run(ctx context.Context) error {
+	limit(c.cfg)
+	listener, err := net.Listen("tcp", c.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	c.timer = time.AfterFunc(time.Hour, func() { c.do(c.ring) })
+	defer c.timer.Stop()
+	c.do(func() {
+		c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
+		if err = c.feed.remembered(c.cfg.Known); err != nil {
+			return
+		}
+		c.feed.start()
+		c.at(c.now+sweepEvery, c.sweep)
+		c.enter(Ready)
+	})
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	if c.listener, err = netpoll.NewEventLoop(onClientData, netpoll.WithOnPrepare(c.accept)); err != nil {
+		return err
+	}
+	go func() { c.fail(fmt.Errorf("listener: %w", c.listener.Serve(listener))) }()
+	defer listener.Close()
+	select {
+	case <-ctx.Done():
+		c.do(c.drain)
+		err = <-c.ended
+	case err = <-c.ended:
+	}
+	c.do(func() { c.enter(Stopped) })
+	c.LogCounters()
+	return err
+}
+
+// limit keeps the process inside its machine. netpoll's poller waits in a system call that holds on to one
+// processor of the runtime until the monitor takes it away, so there is one more than there are cores. The
+// collector starts to press at two thirds of the memory, which leaves room for stacks and what is not counted.
+func limit(cfg config.Config) {
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)) + 1)
+	debug.SetMemoryLimit(cfg.MemoryMB << 20 * 2 / 3)
+}
+
+// fail ends Run; only the first reason counts.
+func (c *Controller) fail(err error) {
+	select {
+	case c.ended <- err:
+	default:
+	}
+}
+
+// enter is the one place where the phase changes.
+func (c *Controller) enter(next Phase) {
+	c.note(slog.LevelInfo, "phase", "from", c.phase.String(), "to", next.String())
+	c.phase = next
+}
+
+// do runs f, and all that f brings about at once, under the lock. It is the only way to the module.
+func (c *Controller) do(f func()) {
+	c.mu.Lock()
+	c.now = time.Duration(c.born.UnixNano()) + time.Since(c.born)
+	c.guarded(f)
+	for len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		c.guarded(next)
+	}
+	c.arm()
+	lines := c.lines
+	c.lines = nil
+	c.mu.Unlock()
+	for _, line := range lines {
+		_ = c.log.Handler().Handle(context.Background(), line)
+	}
+}
+
+// later queues what a call of the host brings about, as the module must not be called from within itself.
+func (c *Controller) later(f func()) { c.queue = append(c.queue, f) }
+
+// note keeps a line to be logged after the unlock.
+func (c *Controller) note(level slog.Level, message string, values ...any) {
+	if !c.log.Enabled(context.Background(), level) {
+		return
+	}
+	line := slog.NewRecord(time.Unix(0, int64(c.now)), level, message, 0)
+	line.Add(values...)
+	c.lines = append(c.lines, line)
+}
+
+func (c *Controller) guarded(f func()) {
+	defer func() {
+		if broke := recover(); broke != nil {
+			c.broke(broke)
+		}
+	}()
+	f()
+}
+
+// broke guards against a fault in the module or in the code round it. What the module held can't be trusted
+// any more, so all jobs are cancelled for good and a new module begins, like a restart that keeps the sockets.
+// A fault that comes back within seconds ends the process, as a half-dead controller is worse than none.
+func (c *Controller) broke(why any) {
+	c.counts[panicked]++
+	c.note(slog.LevelError, "panic", "why", fmt.Sprint(why), "stack", string(debug.Stack()))
+	c.panics = append(c.panics, c.now)
+	// Three in ten seconds: a single faulty job may be sent again by its client twice.
+	if n := len(c.panics); n > 3 && c.now-c.panics[n-4] < 10*time.Second {
+		c.fail(errors.New("panics keep coming back"))
+		return
+	}
+	c.queue = nil
+	for _, j := range c.jobs {
+		c.cancelForGood(j)
+		if d := j.out; d != nil {
+			c.letGo(d)
+		}
+		c.forget(j)
+	}
+	c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
+	c.logic.ListBegins(c.now, logic.ListRemembered)
+	for _, e := range c.engines {
+		c.logic.EngineListed(c.now, e.id, e.location, e.kind, e.cell, e.state, e.weight, e.since)
+	}
+	c.logic.ListEnds(c.now)
+}
--- /dev/null
+++ b/controller/counters.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"log/slog"
+
+	"yarrowbarrow/logic"
+)
+
+// counter numbers what is counted; README.md has the meaning of each.
+type counter int
+
+const (
+	clientsAccepted counter = iota
+	clientsRefused
+	clientsMisread
+	clientsTooSlow
+	clientsIdle
+	jobsTaken
+	jobsMisread
+	jobsOverLimit
+	clientGone
+	done
+	throttled
+	cancelledForGood
+	cutByExit
+	dispatched
+	outcomeDone // eight in the order of logic.Outcome
+	outcomeErrored
+	outcomeTurnedAway
+	outcomeTimedOut
+	outcomeNoConnection
+	outcomeConnectionLost
+	outcomeRecalled
+	outcomeNotSent
+	cancels
+	pagesRead
+	faultyAnswers
+	strayAnswers
+	enginesMisread
+	enginesTooSlow
+	dials
+	dialsFailed
+	linksLost
+	linksOverLimit
+	probesSent
+	feedCalls
+	feedEvents
+	feedGaps
+	feedFailures
+	peerUnsaid
+	panicked
+	counters
+)
+
+var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_misread",
+	"clients_too_slow", "clients_idle", "jobs_taken", "jobs_misread", "jobs_over_limit", "client_gone", "done",
+	"throttled", "cancelled_for_good", "cut_by_exit", "dispatched", "outcome_done", "outcome_errored",
+	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
+	"outcome_recalled", "outcome_not_sent", "cancels", "pages_read", "faulty_answers", "stray_answers",
+	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
+	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "peer_unsaid", "panics"}
+
+func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
+
+// LogCounters logs all counters, and what is open now.
+func (c *Controller) LogCounters() {
+	c.do(func() {
+		values := make([]any, 0, 2*counters+10)
+		for n, name := range counterNames {
+			values = append(values, name, c.counts[n])
+		}
+		values = append(values, "open_jobs", len(c.jobs), "open_clients", len(c.clients), "open_links", c.links,
+			"held_bytes", c.bytes, "engines", len(c.engines))
+		c.note(slog.LevelInfo, "counters", values...)
+	})
+}
--- /dev/null
+++ b/controller/engines.go
@@ -0,0 +1,506 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/internal/resp"
+	"yarrowbarrow/logic"
+)
+
+// engine is an engine of the list and the connections to it.
+type engine struct {
+	id       logic.EngineID
+	address  string // none once another engine has it
+	location logic.Location
+	kind     logic.KindName
+	cell     logic.Cell
+	state    logic.Health
+	weight   float64
+	since    time.Duration
+	links    []*engineLink
+	waiting  []*dispatch // for a connection
+	dials    map[int64]context.CancelFunc
+}
+
+// engineLink is a connection to an engine.
+type engineLink struct {
+	*link
+	engine *engine
+	open   map[logic.JobID]*dispatch
+	used   time.Duration // when a dispatch last began or ended
+	heard  time.Duration // when bytes last came
+	stale  bool          // takes nothing new
+	gone   bool
+}
+
+// probe is a question to an engine that belongs to no job.
+type probe struct {
+	engine *engine
+	sent   time.Duration
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// engineListed keeps what the feed tells of an engine, before the module hears of it.
+func (c *Controller) engineListed(id logic.EngineID, address string, location logic.Location,
+	kind logic.KindName, cell logic.Cell, state logic.Health, weight float64, since time.Duration) {
+	e := c.engines[id]
+	if e == nil {
+		e = &engine{id: id, since: since, address: address, dials: map[int64]context.CancelFunc{}}
+		c.engines[id] = e
+	}
+	if state != logic.Gone {
+		// Guards against work for an engine that is gone reaching the one that has its address now.
+		for _, other := range sorted(c.engines) {
+			if o := c.engines[other]; o != e && o.address == address {
+				c.unaddress(o)
+			}
+		}
+	}
+	if e.address != address || e.since != since { // another process: what is open to the old one leads nowhere new
+		for _, l := range e.links {
+			l.stale = true
+		}
+	}
+	e.address, e.location, e.kind, e.cell, e.state, e.weight, e.since = address, location, kind, cell, state,
+		weight, since
+}
+
+func (c *Controller) unaddress(e *engine) {
+	e.address = ""
+	for _, l := range e.links {
+		l.stale = true
+	}
+	for _, cancel := range e.dials {
+		cancel()
+	}
+	c.refuse(e, logic.NoConnection)
+}
+
+// refuse tells the outcome of what waits for a connection to an engine.
+func (c *Controller) refuse(e *engine, o logic.Outcome) {
+	for _, d := range slices.Clone(e.waiting) {
+		c.later(func() { c.over(d, o) })
+	}
+}
+
+// send puts a dispatch on a connection with room, or has it wait for a new one.
+func (c *Controller) send(d *dispatch) {
+	e := d.engine
+	for _, l := range e.links {
+		if !l.stale && !l.gone && len(l.open) < c.cfg.Settings.Streams && l != d.job.last {
+			c.put(d, l)
+			return
+		}
+	}
+	e.waiting = append(e.waiting, d)
+	if len(e.waiting) > len(e.dials)*c.cfg.Settings.Streams || len(e.dials) == 0 {
+		c.dial(e)
+	}
+}
+
+// put queues a dispatch on a connection: the head, the statement as it came, and the end of the line.
+func (c *Controller) put(d *dispatch, l *engineLink) {
+	j := d.job
+	fields := "class=" + string(j.name) + ",wait=" +
+		strconv.FormatInt(max(int64((d.until-c.now)/time.Millisecond), 1), 10)
+	if j.once != "" {
+		fields += ",once=" + j.once
+	}
+	if j.memoryMB > 0 {
+		fields += ",heap=" + strconv.FormatInt(j.memoryMB, 10)
+	}
+	if j.priority != 1 {
+		fields += ",order=" + strconv.Itoa(j.priority)
+	}
+	head := resp.AppendWord(resp.AppendArray(make([]byte, 0, 192), 4), "serve")
+	head = resp.AppendWord(resp.AppendWord(head, string(j.id)), fields)
+	head = resp.AppendWordHead(head, len(j.statement))
+	d.link, j.last = l, l
+	l.open[j.id] = d
+	l.used = c.now
+	d.message = l.add(head, j.statement, []byte("\r\n"))
+	// Guards against an engine that takes nothing in: its connection is given up, and with it what is open.
+	if l.backlog() > 8<<20 {
+		l.stale = true
+		c.counts[enginesTooSlow]++
+		c.closeSoon(l.conn)
+	}
+}
+
+// say queues a command about a job.
+func (l *engineLink) say(words ...string) {
+	line := resp.AppendArray(nil, len(words))
+	for _, word := range words {
+		line = resp.AppendWord(line, word)
+	}
+	l.add(line)
+}
+
+// letGo ends a dispatch on the wire: what is no longer wanted is cancelled, or its pages released.
+func (c *Controller) letGo(d *dispatch) {
+	j := d.job
+	j.out = nil
+	if d.link == nil {
+		d.engine.waiting = slices.DeleteFunc(d.engine.waiting, func(o *dispatch) bool { return o == d })
+		return
+	}
+	l := d.link
+	if l.open[j.id] == d {
+		if d.begun {
+			l.say("release", string(j.id))
+		} else if !l.gone {
+			l.say("cancel", string(j.id))
+			c.counts[cancels]++
+		}
+		c.unlist(d)
+	}
+}
+
+// unlist takes a dispatch off its connection.
+func (c *Controller) unlist(d *dispatch) {
+	l := d.link
+	delete(l.open, d.job.id)
+	l.used = c.now
+	for _, page := range d.pages {
+		c.bytes -= int64(len(page))
+	}
+	if l.stale && len(l.open) == 0 {
+		l.end()
+	}
+}
+
+func (c *Controller) timeOut(d *dispatch) {
+	switch l := d.link; {
+	case d.job.out != d:
+	case l == nil:
+		c.over(d, logic.NotSent)
+	default:
+		if l.heard < d.sent {
+			// Guards against a connection to a machine that is cut off, which stays open and silent: whether a new
+			// one comes up tells more than another time-out would.
+			l.stale = true
+		}
+		c.over(d, logic.TimedOut)
+	}
+}
+
+// weigh tells the priority of a dispatch that is out.
+func (c *Controller) weigh(d *dispatch) {
+	if d.link != nil {
+		d.link.say("weigh", string(d.job.id), strconv.Itoa(d.job.priority))
+	}
+}
+
+// mostLinks leaves a sixteenth of the descriptors, and at least 24, to the listener, the feed, the pollers and
+// the standard streams.
+func (c *Controller) mostLinks() int {
+	return c.cfg.Sockets - c.mostClients() - max(c.cfg.Sockets/16, 24)
+}
+
+// dial starts a connection. It runs beside everything else and is given up after the settings' time, or when
+// the engine loses its address.
+func (c *Controller) dial(e *engine) {
+	address, err := netip.ParseAddrPort(e.address)
+	if err != nil {
+		c.refuse(e, logic.NoConnection)
+		return
+	}
+	if c.links >= c.mostLinks() {
+		c.counts[linksOverLimit]++
+		c.refuse(e, logic.NotSent)
+		return
+	}
+	c.links++
+	c.counts[dials]++
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Settings.ConnectTimeout)
+	n := c.counts[dials]
+	e.dials[n] = cancel
+	go func() {
+		conn, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *net.TCPAddrFromAddrPort(address)})
+		cancel()
+		if err != nil {
+			c.do(func() { c.dialed(e, n, nil, err) })
+			return
+		}
+		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{}}
+		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
+			c.do(func() { c.engineClosed(l) })
+			return nil
+		})
+		c.do(func() { c.dialed(e, n, l, nil) })
+		_ = conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return l.onData() })
+		if !conn.IsActive() { // ended before there was a callback to tell
+			_ = conn.Close()
+		}
+	}()
+}
+
+func (c *Controller) dialed(e *engine, n int64, l *engineLink, err error) {
+	delete(e.dials, n)
+	if err != nil {
+		c.links--
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			c.counts[linksOverLimit]++
+			c.refuse(e, logic.NotSent)
+			return
+		}
+		c.counts[dialsFailed]++
+		c.refuse(e, logic.NoConnection)
+		return
+	}
+	e.links = append(e.links, l)
+	l.used, l.heard = c.now, c.now
+	waiting := e.waiting
+	e.waiting = nil
+	for _, d := range waiting {
+		c.send(d)
+	}
+}
+
+func (c *Controller) engineClosed(l *engineLink) {
+	l.closed()
+	l.gone = true
+	c.links--
+	e := l.engine
+	e.links = slices.DeleteFunc(e.links, func(o *engineLink) bool { return o == l })
+	if len(l.open) > 0 {
+		c.counts[linksLost]++
+	}
+	for _, id := range sorted(l.open) {
+		d := l.open[id]
+		o := logic.ConnectionLost
+		if !l.wrote(d.message) {
+			o = logic.NotSent
+		}
+		c.later(func() { c.over(d, o) })
+	}
+}
+
+// onData reads answers of an engine in place.
+func (l *engineLink) onData() error {
+	c := l.c
+	var calls []func()
+	var words [][]byte
+	err := l.read(func(data []byte) (size int, err error) {
+		words, size, err = resp.Next(data, words[:0])
+		if err != nil || size == 0 {
+			return 0, err
+		}
+		if len(words) != 4 {
+			return 0, errors.New("four words are wanted")
+		}
+		calls = append(calls, c.engineSays(l, logic.JobID(words[0]), string(words[1]), words[2], words[3]))
+		return size, nil
+	}, func() {
+		if len(calls) == 0 {
+			return
+		}
+		c.do(func() {
+			l.heard = c.now
+			for _, call := range calls {
+				call()
+			}
+		})
+	})
+	if err != nil {
+		c.do(func() {
+			c.counts[enginesMisread]++
+			l.stale = true
+		})
+		return l.conn.Close()
+	}
+	return nil
+}
+
+// engineSays reads one answer in place and gives the call that it leads to.
+func (c *Controller) engineSays(l *engineLink, id logic.JobID, word string, fields, body []byte) func() {
+	load, work, memory, pages, page := noLoad, 0.0, 0.0, 0, -1
+	resp.Fields(fields, func(name, value []byte) {
+		switch string(name) {
+		case "ticks":
+			work, _ = number(value)
+		case "footprint":
+			memory, _ = number(value)
+		case "count":
+			pages, _ = strconv.Atoi(string(value))
+		case "pos":
+			page, _ = strconv.Atoi(string(value))
+		case "stats":
+			load = readLoad(value)
+		}
+	})
+	if word == "PONG" || word == "SICK" {
+		return func() { c.probed(string(id), word == "PONG", load) }
+	}
+	return func() {
+		d := l.open[id]
+		if d == nil {
+			c.counts[strayAnswers]++
+			return
+		}
+		if load != noLoad {
+			d.load = load
+		}
+		switch word {
+		case "HIT":
+			d.work, d.memory = time.Duration(work*float64(time.Millisecond)), memory
+			if pages < 1 || pages > mostPages || d.begun {
+				c.faultyAnswer(d)
+				return
+			}
+			d.begun, d.pages, d.missing = true, make([][]byte, pages), pages
+			for n := 1; n < pages; n++ {
+				l.say("read", string(id), strconv.Itoa(n))
+			}
+			c.page(d, 0, body)
+		case "PART":
+			c.page(d, page, body)
+		case "SHED", "LATE":
+			c.unlist(d)
+			c.over(d, logic.TurnedAway)
+		case "FAULT":
+			c.unlist(d)
+			c.over(d, logic.Errored)
+		default:
+			c.faultyAnswer(d)
+		}
+	}
+}
+
+// A result has 48,000 bytes at most and a page 6,000, at least one row each.
+const mostResult, mostPage, mostPages = 48_000, 6_000, 4_096
+
+// page keeps a page at its place; with the last one the job is done.
+func (c *Controller) page(d *dispatch, n int, body []byte) {
+	if !d.begun || n < 0 || n >= len(d.pages) || d.pages[n] != nil || len(body) > mostPage ||
+		len(body) > 0 && body[len(body)-1] != '\n' {
+		c.faultyAnswer(d)
+		return
+	}
+	d.pages[n] = append(make([]byte, 0, len(body)), body...)
+	c.bytes += int64(len(body))
+	c.counts[pagesRead]++
+	if d.missing--; d.missing > 0 {
+		return
+	}
+	size := 0
+	for _, page := range d.pages {
+		size += len(page)
+	}
+	if size > mostResult {
+		c.faultyAnswer(d)
+		return
+	}
+	if len(d.pages) > 1 {
+		d.link.say("release", string(d.job.id))
+	}
+	c.unlist(d)
+	if d.job.client != nil {
+		c.counts[done]++
+	}
+	c.answer(d.job, frame.Done, "", "", d.pages...)
+	c.over(d, logic.Done)
+}
+
+// faultyAnswer guards the client: what an engine got wrong is an error of the dispatch, never a result.
+func (c *Controller) faultyAnswer(d *dispatch) {
+	c.counts[faultyAnswers]++
+	c.over(d, logic.Errored)
+}
+
+// readLoad reads an engine's report of itself, as in util:0.61;queue:3.
+func readLoad(stats []byte) logic.Load {
+	load := noLoad
+	resp.Pairs(stats, ';', ':', func(name, value []byte) {
+		n, err := strconv.ParseFloat(string(value), 64)
+		if err != nil {
+			return
+		}
+		switch string(name) {
+		case "util":
+			load.Util = n
+		case "queue":
+			load.Waiting = n
+		case "x0":
+			load.MemoryGranted = n
+		}
+	})
+	return load
+}
+
+// probe asks an engine for its health, on a connection that is up.
+func (c *Controller) probe(id logic.EngineID) {
+	e := c.engines[id]
+	tag := "probe-" + strconv.FormatInt(c.counts[probesSent], 10)
+	c.counts[probesSent]++
+	c.probes[tag] = &probe{engine: e, sent: c.now}
+	c.at(c.now+c.cfg.Settings.ConnectTimeout, func() { c.probeOver(tag, logic.TimedOut, noLoad) })
+	if e == nil || !slices.ContainsFunc(e.links, func(l *engineLink) bool {
+		if !l.stale && !l.gone {
+			l.say("gauges", tag)
+		}
+		return !l.stale && !l.gone
+	}) {
+		c.probeOver(tag, logic.NoConnection, noLoad)
+	}
+}
+
+func (c *Controller) probed(tag string, well bool, load logic.Load) {
+	o := logic.Done
+	if !well {
+		o = logic.Errored
+	}
+	c.probeOver(tag, o, load)
+}
+
+func (c *Controller) probeOver(tag string, o logic.Outcome, load logic.Load) {
+	if p := c.probes[tag]; p != nil {
+		delete(c.probes, tag)
+		if p.engine != nil {
+			c.logic.ProbeAnswered(c.now, p.engine.id, o, c.now-p.sent, load)
+		}
+	}
+}
+
+// closeIdle closes connections to an engine that carried nothing for so long.
+func (c *Controller) closeIdle(e *engine, idle time.Duration) {
+	if e == nil {
+		return
+	}
+	for _, l := range e.links {
+		if len(l.open) == 0 && !l.gone && c.now-l.used >= idle {
+			l.stale = true
+			l.end()
+		}
+	}
+}
+
+// sweepEngines closes connections at four fifths of the time after which the engine would, as what is sent
+// while it closes would be lost, and forgets engines that are gone.
+func (c *Controller) sweepEngines() {
+	for _, id := range sorted(c.engines) {
+		e := c.engines[id]
+		if idle := c.cfg.Settings.IdleClose; idle > 0 {
+			c.closeIdle(e, idle*4/5)
+		}
+		if e.state == logic.Gone {
+			c.closeIdle(e, 0)
+			if len(e.links) == 0 && len(e.waiting) == 0 && len(e.dials) == 0 {
+				delete(c.engines, id)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/controller/feed.go
@@ -0,0 +1,254 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"yarrowbarrow/internal/http1"
+	"yarrowbarrow/internal/listing"
+	"yarrowbarrow/logic"
+)
+
+// feed follows the control feed: one connection, one call at a time, the next as soon as one is answered. Jobs
+// go on with the list that is held while it is away.
+type feed struct {
+	c         *Controller
+	link      *link
+	last      int64 // number of the newest event held
+	call      int64 // of the call that is out, to tell old time-outs apart
+	waits     bool  // a call is out
+	following bool
+	dialing   bool
+	pause     time.Duration // after the last failure
+}
+
+// longestWait is the longest that the feed holds a call; a call without an answer by slack later has failed.
+const longestWait, callSlack = 5 * time.Second, 2 * time.Second
+
+// remembered tells the module what the configuration knows.
+func (f *feed) remembered(known []byte) error {
+	return f.tell(known, func(bool) logic.ListKind { return logic.ListRemembered })
+}
+
+// start follows the feed from the beginning where changes come by themselves.
+func (f *feed) start() {
+	if !f.c.cfg.Settings.Logic.ListOnRequest {
+		f.follow(true)
+	}
+}
+
+func (f *feed) follow(on bool) {
+	if f.following = on; on && !f.waits {
+		f.ask()
+	}
+}
+
+// anew asks for the whole list.
+func (f *feed) anew() {
+	f.last = 0
+	f.following = true
+	f.ask()
+}
+
+// tell hands the events of a text to the module. A gap in the numbers has all of them read anew.
+func (f *feed) tell(text []byte, kind func(whole bool) logic.ListKind) error {
+	c := f.c
+	var listed map[logic.EngineID]bool
+	last, gap, err := listing.Read(text, f.last, func(whole bool) {
+		if listed = nil; whole {
+			listed = map[logic.EngineID]bool{}
+		}
+		c.counts[feedEvents]++
+		c.logic.ListBegins(c.now, kind(whole))
+	}, func(id logic.EngineID, address string, location logic.Location, kind logic.KindName, cell logic.Cell,
+		state logic.Health, weight float64, since time.Duration) {
+		if listed != nil {
+			listed[id] = true
+		}
+		c.engineListed(id, address, location, kind, cell, state, weight, since)
+		c.logic.EngineListed(c.now, id, location, kind, cell, state, weight, since)
+	}, func() {
+		for id, e := range c.engines {
+			if listed != nil && !listed[id] {
+				e.state = logic.Gone
+			}
+		}
+		c.logic.ListEnds(c.now)
+	})
+	f.last = last
+	if gap {
+		c.counts[feedGaps]++
+		f.last = 0
+	}
+	return err
+}
+
+// ask sends the next call, over a new connection when there is none.
+func (f *feed) ask() {
+	c := f.c
+	if f.link == nil {
+		f.dial()
+		return
+	}
+	f.waits = true
+	f.call++
+	call := f.call
+	target := "/v1/events?SUB=" + strconv.FormatInt(f.last, 10) + "&wait=" +
+		strconv.FormatInt(int64(longestWait/time.Millisecond), 10)
+	f.link.add(http1.AppendGet(nil, c.cfg.Feed, target))
+	c.counts[feedCalls]++
+	c.at(c.now+longestWait+callSlack, func() {
+		if f.waits && f.call == call {
+			f.failed(errors.New("no answer in time"))
+		}
+	})
+}
+
+func (f *feed) dial() {
+	c := f.c
+	address, err := netip.ParseAddrPort(c.cfg.Feed)
+	if err != nil || f.dialing {
+		return
+	}
+	f.dialing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), max(c.cfg.Settings.ConnectTimeout, time.Second))
+		defer cancel()
+		conn, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *net.TCPAddrFromAddrPort(address)})
+		if err != nil {
+			c.do(func() {
+				f.dialing = false
+				f.failed(err)
+			})
+			return
+		}
+		l := newLink(c, conn)
+		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
+			c.do(func() { f.closed(l) })
+			return nil
+		})
+		c.do(func() {
+			f.dialing = false
+			f.link = l
+			if f.following {
+				f.ask()
+			}
+		})
+		_ = conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return f.onData(l) })
+		if !conn.IsActive() {
+			_ = conn.Close()
+		}
+	}()
+}
+
+func (f *feed) closed(l *link) {
+	l.closed()
+	if f.link != l {
+		return
+	}
+	// A body without a length ends with its connection.
+	_, body, size, _, err := http1.Next(l.rest, true)
+	if f.link = nil; f.waits && size > 0 && err == nil {
+		f.waits = false
+		f.heard(body)
+	} else if f.waits {
+		f.failed(errors.New("connection closed"))
+	}
+}
+
+// failed guards against a feed that is away or broken: it is tried again after a pause that grows and is drawn,
+// so that controllers that lost it together do not come back together.
+func (f *feed) failed(err error) {
+	c := f.c
+	c.counts[feedFailures]++
+	c.note(slog.LevelWarn, "feed", "why", err)
+	f.waits = false
+	if f.link != nil {
+		c.closeSoon(f.link.conn)
+		f.link = nil
+	}
+	// From a tenth of a second up to two: changes are acted on within the drain grace of the usual settings.
+	f.pause = min(max(2*f.pause, 100*time.Millisecond), 2*time.Second)
+	if c.cfg.Settings.Logic.ListOnRequest {
+		f.following = false
+		c.logic.ListBegins(c.now, logic.ListRefused)
+		c.logic.ListEnds(c.now)
+		return
+	}
+	c.at(c.now+f.pause/2+time.Duration(c.rng.Int63n(int64(f.pause))), func() {
+		if f.following && !f.waits && f.link == nil {
+			f.ask()
+		}
+	})
+}
+
+func (f *feed) onData(l *link) error {
+	c := f.c
+	var calls []func()
+	err := l.read(func(data []byte) (int, error) {
+		status, body, size, last, err := http1.Next(data, false)
+		if err != nil || size == 0 {
+			return 0, err
+		}
+		calls = append(calls, func() {
+			if f.link != l || !f.waits {
+				return
+			}
+			f.waits = false
+			if last {
+				c.closeSoon(l.conn)
+				f.link = nil
+			}
+			if status != 200 {
+				f.failed(fmt.Errorf("status %d", status))
+				return
+			}
+			f.heard(body)
+		})
+		return size, nil
+	}, func() {
+		if len(calls) > 0 {
+			c.do(func() {
+				for _, call := range calls {
+					call()
+				}
+			})
+		}
+	})
+	if err != nil {
+		c.do(func() {
+			if f.link == l {
+				f.failed(err)
+			}
+		})
+	}
+	return nil
+}
+
+// heard takes an answer and asks on.
+func (f *feed) heard(body []byte) {
+	before := f.last
+	err := f.tell(body, func(whole bool) logic.ListKind {
+		if whole {
+			return logic.ListWhole
+		}
+		return logic.ListChanges
+	})
+	switch {
+	case err != nil:
+		f.failed(err)
+	case f.last < before: // numbers that can't be right: not at once again
+		f.failed(errors.New("events are missing"))
+	case f.following:
+		f.pause = 0
+		f.ask()
+	}
+}
--- /dev/null
+++ b/controller/host.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"yarrowbarrow/logic"
+)
+
+// host carries out the module's decisions. All is called under the lock, and none of it calls the module.
+type host struct{ c *Controller }
+
+func (h host) Dispatch(id logic.JobID, to logic.EngineID, timeout time.Duration) {
+	c, j := h.c, h.c.jobs[id]
+	if j == nil {
+		return
+	}
+	d := &dispatch{job: j, n: j.sent, engine: c.engines[to], sent: c.now,
+		until: min(c.now+timeout, j.expires), load: noLoad}
+	j.sent++
+	j.out = d
+	c.counts[dispatched]++
+	if d.engine == nil {
+		d.engine = &engine{id: to}
+	}
+	if c.now >= d.until || j.client == nil {
+		c.later(func() { c.over(d, logic.NotSent) })
+		return
+	}
+	c.send(d)
+	c.at(d.until, func() { c.timeOut(d) })
+}
+
+func (h host) SetTerms(id logic.JobID, memoryMB float64, priority int) {
+	if j := h.c.jobs[id]; j != nil {
+		j.memoryMB, j.priority = int64(math.Ceil(memoryMB)), priority
+		if j.out != nil {
+			h.c.weigh(j.out)
+		}
+	}
+}
+
+func (h host) Recall(id logic.JobID, n int) {
+	if j := h.c.jobs[id]; j != nil && j.out != nil && j.out.n == n {
+		d := j.out
+		h.c.later(func() { h.c.over(d, logic.Recalled) })
+	}
+}
+
+func (h host) Throttle(id logic.JobID, comeBack time.Duration) {
+	if j := h.c.jobs[id]; j != nil {
+		h.c.throttle(j, comeBack)
+		h.ended(j)
+	}
+}
+
+func (h host) CancelForGood(id logic.JobID) {
+	if j := h.c.jobs[id]; j != nil {
+		h.c.cancelForGood(j)
+		h.ended(j)
+	}
+}
+
+func (h host) ended(j *job) {
+	if j.out == nil {
+		h.c.forget(j)
+	}
+}
+
+func (h host) WakeAfter(t logic.TimerID, in time.Duration) {
+	h.c.at(h.c.now+in, func() { h.c.logic.TimerDue(h.c.now, t) })
+}
+
+func (h host) Follow(on bool)              { h.c.later(func() { h.c.feed.follow(on) }) }
+func (h host) FetchList()                  { h.c.later(h.c.feed.anew) }
+func (h host) Probe(id logic.EngineID)     { h.c.later(func() { h.c.probe(id) }) }
+func (h host) CloseIdle(id logic.EngineID) { h.c.later(func() { h.c.closeIdle(h.c.engines[id], 0) }) }
+
+// TellPeer says nothing: this network gives controllers no way to talk to each other.
+func (h host) TellPeer(logic.PeerID, string) { h.c.counts[peerUnsaid]++ }
+
+func (h host) Log(line string) { h.c.note(slog.LevelInfo, "module", "says", line) }
--- /dev/null
+++ b/controller/jobs.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"strconv"
+	"time"
+
+	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/logic"
+)
+
+// job is a job taken, until it is answered and nothing of it is out.
+type job struct {
+	id        logic.JobID
+	client    *client // nil once the job is over
+	stream    uint32
+	name      logic.TypeName
+	once      string
+	statement []byte
+	expires   time.Duration
+	memoryMB  int64
+	priority  int
+	sent      int
+	out       *dispatch
+	last      *engineLink // where it went last: its id is not used there again
+}
+
+// dispatch is one sending of a job, from the module's call until its outcome is told.
+type dispatch struct {
+	job     *job
+	n       int
+	engine  *engine
+	link    *engineLink // nil while no connection is up
+	message int64       // on the link
+	sent    time.Duration
+	until   time.Duration
+	pages   [][]byte
+	missing int // pages not here yet
+	begun   bool
+	work    time.Duration
+	memory  float64
+	load    logic.Load
+}
+
+// noLoad is where an engine reported nothing.
+var noLoad = logic.Load{Util: -1, Waiting: -1, MemoryGranted: -1}
+
+// over tells the outcome of a dispatch that is still out.
+func (c *Controller) over(d *dispatch, o logic.Outcome) {
+	j := d.job
+	if j.out != d {
+		return
+	}
+	c.letGo(d)
+	c.counts[outcomeCounter(o)]++
+	ended := j.client == nil
+	if ended {
+		c.forget(j)
+	}
+	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
+}
+
+// answer gives a job its one answer.
+func (c *Controller) answer(j *job, code byte, field, value string, body ...[]byte) {
+	k := j.client
+	if k == nil {
+		return
+	}
+	j.client = nil
+	delete(k.jobs, j.stream)
+	k.idle = c.now
+	k.send(frame.Answer, j.stream, code, field, value, body...)
+}
+
+func (c *Controller) cancelForGood(j *job) {
+	if j.client != nil {
+		c.counts[cancelledForGood]++
+	}
+	c.answer(j, frame.CancelledFor, "", "")
+}
+
+func (c *Controller) throttle(j *job, comeBack time.Duration) {
+	if j.client != nil {
+		c.counts[throttled]++
+	}
+	field, value := "", ""
+	if comeBack > 0 {
+		field, value = "after", strconv.FormatInt(int64((comeBack+time.Millisecond-1)/time.Millisecond), 10)
+	}
+	c.answer(j, frame.Throttled, field, value)
+}
+
+// forget drops a job that is over and has nothing out.
+func (c *Controller) forget(j *job) {
+	if c.jobs[j.id] == j {
+		delete(c.jobs, j.id)
+		c.bytes -= int64(len(j.statement))
+	}
+}
+
+// clientGone ends a job that nobody waits for any more.
+func (c *Controller) clientGone(j *job) {
+	delete(j.client.jobs, j.stream)
+	j.client = nil
+	c.counts[clientGone]++
+	c.logic.ClientGone(c.now, j.id)
+	c.later(func() {
+		if j.out == nil {
+			c.forget(j)
+		}
+	})
+}
--- /dev/null
+++ b/controller/link.go
@@ -0,0 +1,150 @@
+package controller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// link is a connection: what came in and is not whole yet, and what is to go out. Its writer is a goroutine of
+// the connection, not of a job: netpoll's Flush waits while the peer's window is full, and whoever queues
+// output holds the lock or serves other connections. All that gathers meanwhile goes out in one gathered write.
+type link struct {
+	c    *Controller
+	conn netpoll.Connection
+	rest []byte
+	wake chan struct{}
+
+	mu            sync.Mutex
+	pending       [][]byte
+	unsent        int   // bytes queued and not flushed
+	queued, taken int64 // messages queued, and handed to the socket
+	ending, over  bool  // ending: closes once all is flushed
+}
+
+// writeTimeout is for one flush: a peer that takes nothing for so long would not read its answers in time.
+const writeTimeout = 5 * time.Second
+
+func newLink(c *Controller, conn netpoll.Connection) *link {
+	l := &link{c: c, conn: conn, wake: make(chan struct{}, 1)}
+	_ = conn.SetWriteTimeout(writeTimeout)
+	go l.write()
+	return l
+}
+
+// add queues a message, in parts that may be shared, and gives its number. It does not wait.
+func (l *link) add(parts ...[]byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over || l.ending {
+		return l.queued + 1
+	}
+	for _, part := range parts {
+		l.pending = append(l.pending, part)
+		l.unsent += len(part)
+	}
+	l.queued++
+	l.signal()
+	return l.queued
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end closes the connection once all that is queued is flushed.
+func (l *link) end() {
+	l.mu.Lock()
+	l.ending = true
+	l.signal()
+	l.mu.Unlock()
+}
+
+// closed ends the writer after the connection.
+func (l *link) closed() {
+	l.mu.Lock()
+	l.over = true
+	l.signal()
+	l.mu.Unlock()
+}
+
+// wrote tells whether any byte of a message may have left.
+func (l *link) wrote(message int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return message <= l.taken
+}
+
+func (l *link) backlog() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unsent
+}
+
+func (l *link) write() {
+	for range l.wake {
+		size, ending, over := l.hand()
+		if over || size > 0 && l.conn.Writer().Flush() != nil {
+			break
+		}
+		l.mu.Lock()
+		l.unsent -= size
+		l.mu.Unlock()
+		if ending {
+			break
+		}
+	}
+	_ = l.conn.Close()
+}
+
+// hand gives what is pending to netpoll, which keeps references. It does so under the link's own lock, as the
+// buffers go when the connection's close callbacks, closed among them, are through.
+func (l *link) hand() (size int, ending, over bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over {
+		return 0, false, true
+	}
+	for _, part := range l.pending {
+		size += len(part)
+		_, _ = l.conn.Writer().WriteBinary(part)
+	}
+	l.pending, l.taken = nil, l.queued
+	return size, l.ending, false
+}
+
+// maxRest is what an idle connection may keep of a buffer for messages in parts.
+const maxRest = 16 << 10
+
+// read takes all that has come, as netpoll calls again at once while anything is left. next reads one message
+// in place and gives its size, 0 while it is not whole; then is called before the bytes are given back.
+func (l *link) read(next func(data []byte) (size int, err error), then func()) error {
+	r := l.conn.Reader()
+	data, err := r.Next(r.Len())
+	if err != nil {
+		return err
+	}
+	if len(l.rest) > 0 {
+		l.rest = append(l.rest, data...)
+		data = l.rest
+	}
+	size := 0
+	for len(data) > 0 {
+		if size, err = next(data); err != nil || size == 0 {
+			break
+		}
+		data = data[size:]
+	}
+	then()
+	if len(data) == 0 && cap(l.rest) > maxRest {
+		l.rest = nil
+	} else {
+		l.rest = append(l.rest[:0], data...)
+	}
+	_ = r.Release()
+	return err
+}
--- /dev/null
+++ b/controller/timers.go
@@ -0,0 +1,52 @@
+package controller
+
+import (
+	"container/heap"
+	"time"
+)
+
+// alarm is something to be done at a time. Alarms are never taken back: what they do looks whether it is still
+// wanted.
+type alarm struct {
+	at time.Duration
+	do func()
+}
+
+type timers []alarm
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(a, b int) bool { return t[a].at < t[b].at }
+func (t timers) Swap(a, b int)      { t[a], t[b] = t[b], t[a] }
+func (t *timers) Push(a any)        { *t = append(*t, a.(alarm)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	a := (*t)[last]
+	(*t)[last] = alarm{}
+	*t = (*t)[:last]
+	return a
+}
+
+func (c *Controller) at(when time.Duration, do func()) { heap.Push(&c.timers, alarm{when, do}) }
+
+// ring does what is due.
+func (c *Controller) ring() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		c.later(heap.Pop(&c.timers).(alarm).do)
+	}
+}
+
+// arm sets the one runtime timer to the next alarm.
+func (c *Controller) arm() {
+	if len(c.timers) > 0 && c.timer != nil {
+		c.timer.Reset(max(c.timers[0].at-c.now, 0))
+	}
+}
+
+// sweepEvery is fine enough for idle times of seconds.
+const sweepEvery = 500 * time.Millisecond
+
+func (c *Controller) sweep() {
+	c.sweepClients()
+	c.sweepEngines()
+	c.at(c.now+sweepEvery, c.sweep)
+}
--- /dev/null
+++ b/internal/listing/listing.go
@@ -0,0 +1,74 @@
+// Package listing reads what the control feed tells of the engines.
+package listing
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"yarrowbarrow/logic"
+)
+
+var states = map[string]logic.Health{"active": logic.Up, "leaving": logic.Draining, "left": logic.Gone}
+
+// Read hands over the events behind number after: each begins, lists its engines and ends. A faulty text is
+// refused before anything is handed over. last is the number of the newest event told; a gap in the numbers
+// ends the reading, which tells that the feed has to be read anew.
+func Read(raw []byte, after int64, begins func(whole bool), lists func(id logic.EngineID, address string,
+	location logic.Location, kind logic.KindName, cell logic.Cell, state logic.Health, weight float64,
+	since time.Duration), ends func()) (last int64, gap bool, err error) {
+	var answer struct {
+		N      int64
+		Events []struct {
+			N       int64
+			Members *struct {
+				Whole bool
+				Hosts []struct {
+					Host   logic.EngineID
+					Dial   string
+					Site   logic.Location
+					Class  logic.KindName
+					Block  logic.Cell
+					Health string
+					Share  float64
+					BornMS int64 `json:"born_ms"`
+				}
+			}
+		}
+	}
+	if err = json.Unmarshal(raw, &answer); err != nil {
+		return after, false, err
+	}
+	for _, e := range answer.Events {
+		if e.Members == nil {
+			continue
+		}
+		for _, h := range e.Members.Hosts {
+			if _, known := states[h.Health]; !known || h.Host == "" {
+				return after, false, fmt.Errorf("event %d: host %q: health %q is not known", e.N, h.Host, h.Health)
+			}
+		}
+	}
+	if answer.N < after {
+		return after, true, nil
+	}
+	last = after
+	for _, e := range answer.Events {
+		if e.N <= last {
+			continue
+		}
+		if whole := e.Members != nil && e.Members.Whole; e.N > last+1 && !whole {
+			return last, true, nil
+		}
+		if last = e.N; e.Members == nil {
+			continue
+		}
+		begins(e.Members.Whole)
+		for _, h := range e.Members.Hosts {
+			lists(h.Host, h.Dial, h.Site, h.Class, h.Block, states[h.Health], h.Share,
+				time.Duration(h.BornMS)*time.Millisecond)
+		}
+		ends()
+	}
+	return last, last < answer.N, nil
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"yarrowbarrow/config"
 	"yarrowbarrow/logic"
 )
 
@@ -191,12 +192,12 @@
 	if len(f.row) < 4 {
 		return fmt.Errorf("field config is missing")
 	}
-	settings, columns, err := readSettings(f.row[3])
+	settings, err := config.ReadSettings(f.row[3])
 	if err != nil {
 		return err
 	}
-	i := &instance{id: id, columns: columns, replies: &p.replies}
-	i.logic = logic.New(i, settings, int64(seed))
+	i := &instance{id: id, columns: settings.Columns, replies: &p.replies}
+	i.logic = logic.New(i, settings.Logic, int64(seed))
 	p.instances[id] = i
 	return nil
 }
