--- a/controller/controller.go
+++ b/controller/controller.go
@@ -188,9 +188,10 @@
 	c.queue = nil
 	for _, j := range c.jobs {
 		c.cancelForGood(j)
-		if d := j.out; d != nil {
+		if d := j.out; d != nil && !d.ends {
 			c.letGo(d)
 		}
+		j.out = nil
 		c.forget(j)
 	}
 	c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -37,12 +37,13 @@
 // engineLink is a connection to an engine.
 type engineLink struct {
 	*link
-	engine *engine
-	open   map[logic.JobID]*dispatch
-	used   time.Duration // when a dispatch last began or ended
-	heard  time.Duration // when bytes last came
-	stale  bool          // takes nothing new
-	gone   bool
+	engine  *engine
+	open    map[logic.JobID]*dispatch
+	leaving map[*dispatch]bool // given up, not yet flushed
+	used    time.Duration      // when a dispatch last began or ended
+	heard   time.Duration      // when bytes last came
+	stale   bool               // takes nothing new
+	gone    bool
 }
 
 // probe is a question to an engine that belongs to no job.
@@ -152,7 +153,6 @@
 // letGo ends a dispatch on the wire: what is no longer wanted is cancelled, or its pages released.
 func (c *Controller) letGo(d *dispatch) {
 	j := d.job
-	j.out = nil
 	if d.link == nil {
 		d.engine.waiting = slices.DeleteFunc(d.engine.waiting, func(o *dispatch) bool { return o == d })
 		return
@@ -184,16 +184,14 @@
 
 func (c *Controller) timeOut(d *dispatch) {
 	switch l := d.link; {
-	case d.job.out != d:
-	case l == nil:
-		c.over(d, logic.NotSent)
+	case d.job.out != d || d.ends:
 	default:
-		if l.heard < d.sent {
+		if l != nil && l.heard < d.sent {
 			// Guards against a connection to a machine that is cut off, which stays open and silent: whether a new
 			// one comes up tells more than another time-out would.
 			l.stale = true
 		}
-		c.over(d, logic.TimedOut)
+		c.giveUp(d, logic.TimedOut)
 	}
 }
 
@@ -235,7 +233,8 @@
 			c.do(func() { c.dialed(e, n, nil, err) })
 			return
 		}
-		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{}}
+		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{},
+			leaving: map[*dispatch]bool{}}
 		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 			c.do(func() { c.engineClosed(l) })
 			return nil
@@ -279,6 +278,9 @@
 	if len(l.open) > 0 {
 		c.counts[linksLost]++
 	}
+	for d := range l.leaving {
+		c.later(func() { c.left(d) })
+	}
 	for _, id := range sorted(l.open) {
 		d := l.open[id]
 		o := logic.ConnectionLost
--- a/controller/host.go
+++ b/controller/host.go
@@ -44,7 +44,7 @@
 func (h host) Recall(id logic.JobID, n int) {
 	if j := h.c.jobs[id]; j != nil && j.out != nil && j.out.n == n {
 		d := j.out
-		h.c.later(func() { h.c.over(d, logic.Recalled) })
+		h.c.later(func() { h.c.giveUp(d, logic.Recalled) })
 	}
 }
 
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -36,6 +36,8 @@
 	pages   [][]byte
 	missing int // pages not here yet
 	begun   bool
+	ends    bool // given up, its outcome known and to be told once the engine is told
+	outcome logic.Outcome
 	work    time.Duration
 	memory  float64
 	load    logic.Load
@@ -44,13 +46,55 @@
 // noLoad is where an engine reported nothing.
 var noLoad = logic.Load{Util: -1, Waiting: -1, MemoryGranted: -1}
 
-// over tells the outcome of a dispatch that is still out.
+// over ends a dispatch that is still out, on the wire and then for the module.
 func (c *Controller) over(d *dispatch, o logic.Outcome) {
-	j := d.job
-	if j.out != d {
-		return
+	if d.job.out == d && !d.ends {
+		c.letGo(d)
+		c.tell(d, o)
+	}
+}
+
+// giveUp ends a dispatch that the engine may be at. The module hears of it once the engine was told to stop, or
+// the job's next dispatch could reach another engine first and two would run at once. A job that is out of time
+// gets no other, and its answer must not wait.
+func (c *Controller) giveUp(d *dispatch, o logic.Outcome) {
+	l := d.link
+	switch {
+	case d.job.out != d || d.ends:
+	case l == nil:
+		c.over(d, logic.NotSent)
+	case l.gone || d.job.client == nil || c.now >= d.job.expires:
+		c.over(d, o)
+	default:
+		c.letGo(d)
+		d.ends, d.outcome = true, o
+		l.leaving[d] = true
+		l.then(func() { c.left(d) })
+		// A connection that takes in nothing is closed, which gives up all that is open on it.
+		c.at(c.now+c.cfg.Settings.ConnectTimeout, func() {
+			if l.leaving[d] && !l.gone {
+				c.counts[enginesTooSlow]++
+				l.stale = true
+				c.closeSoon(l.conn)
+			}
+		})
+		// The connection may be so full that not even its close comes before the job is out of time.
+		c.at(d.job.expires, func() { c.left(d) })
 	}
-	c.letGo(d)
+}
+
+// left tells the outcome of a dispatch that was given up.
+func (c *Controller) left(d *dispatch) {
+	if d.job.out == d {
+		delete(d.link.leaving, d)
+		c.tell(d, d.outcome)
+	}
+}
+
+// tell hands the outcome of a dispatch to the module.
+func (c *Controller) tell(d *dispatch, o logic.Outcome) {
+	j := d.job
+	j.out = nil
 	c.counts[outcomeCounter(o)]++
 	ended := j.client == nil
 	if ended {
--- a/controller/link.go
+++ b/controller/link.go
@@ -18,9 +18,10 @@
 
 	mu            sync.Mutex
 	pending       [][]byte
-	unsent        int   // bytes queued and not flushed
-	queued, taken int64 // messages queued, and handed to the socket
-	ending, over  bool  // ending: closes once all is flushed
+	unsent        int      // bytes queued and not flushed
+	queued, taken int64    // messages queued, and handed to the socket
+	ending, over  bool     // ending: closes once all is flushed
+	flushed       []func() // to be done once what is pending has left
 }
 
 // writeTimeout is for one flush: a peer that takes nothing for so long would not read its answers in time.
@@ -49,6 +50,14 @@
 	return l.queued
 }
 
+// then has f done, under the controller's lock, once all that is queued now has left.
+func (l *link) then(f func()) {
+	l.mu.Lock()
+	l.flushed = append(l.flushed, f)
+	l.signal()
+	l.mu.Unlock()
+}
+
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -87,10 +96,17 @@
 
 func (l *link) write() {
 	for range l.wake {
-		size, ending, over := l.hand()
+		size, flushed, ending, over := l.hand()
 		if over || size > 0 && l.conn.Writer().Flush() != nil {
 			break
 		}
+		if len(flushed) > 0 {
+			l.c.do(func() {
+				for _, f := range flushed {
+					f()
+				}
+			})
+		}
 		l.mu.Lock()
 		l.unsent -= size
 		l.mu.Unlock()
@@ -103,18 +119,19 @@
 
 // hand gives what is pending to netpoll, which keeps references. It does so under the link's own lock, as the
 // buffers go when the connection's close callbacks, closed among them, are through.
-func (l *link) hand() (size int, ending, over bool) {
+func (l *link) hand() (size int, flushed []func(), ending, over bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.over {
-		return 0, false, true
+		return 0, nil, false, true
 	}
 	for _, part := range l.pending {
 		size += len(part)
 		_, _ = l.conn.Writer().WriteBinary(part)
 	}
-	l.pending, l.taken = nil, l.queued
-	return size, l.ending, false
+	flushed = l.flushed
+	l.pending, l.flushed, l.taken = nil, nil, l.queued
+	return size, flushed, l.ending, false
 }
 
 // maxRest is what an idle connection may keep of a buffer for messages in parts.
