--- a/controller/counters.go
+++ b/controller/counters.go
@@ -23,6 +23,8 @@
 	throttled
 	cancelledForGood
 	cutByExit
+	answersLate
+	alarmsLate
 	dispatched
 	outcomeDone // eight in the order of logic.Outcome
 	outcomeErrored
@@ -54,7 +56,7 @@
 
 var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_misread",
 	"clients_too_slow", "clients_idle", "jobs_taken", "jobs_misread", "jobs_over_limit", "client_gone", "done",
-	"throttled", "cancelled_for_good", "cut_by_exit", "dispatched", "outcome_done", "outcome_errored",
+	"throttled", "cancelled_for_good", "cut_by_exit", "answers_late", "alarms_late", "dispatched", "outcome_done", "outcome_errored",
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "pages_read", "faulty_answers", "stray_answers",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -32,8 +32,26 @@
 	links    []*engineLink
 	waiting  []*dispatch // for a connection
 	dials    map[int64]context.CancelFunc
+	trip     trip
 }
 
+// trip is the time that a command and its answer take, learned from pages, which cost an engine nothing.
+type trip struct{ mean, spread time.Duration }
+
+// add smooths as TCP does for its own time-outs.
+func (t *trip) add(took time.Duration) {
+	if t.mean == 0 {
+		t.mean, t.spread = took, took/2
+		return
+	}
+	t.spread += ((took - t.mean).Abs() - t.spread) / 4
+	t.mean += (took - t.mean) / 8
+}
+
+// most is a time in which a trip is over nearly always, what the engine takes to read a command included. Ten
+// milliseconds, far above the trips of a network between neighbours and little against a job, are the least.
+func (t *trip) most() time.Duration { return max(t.mean+4*t.spread, 10*time.Millisecond) }
+
 // engineLink is a connection to an engine.
 type engineLink struct {
 	*link
@@ -363,12 +381,15 @@
 				c.faultyAnswer(d)
 				return
 			}
-			d.begun, d.pages, d.missing = true, make([][]byte, pages), pages
+			d.begun, d.pages, d.missing, d.reads = true, make([][]byte, pages), pages, c.now
 			for n := 1; n < pages; n++ {
 				l.say("read", string(id), strconv.Itoa(n))
 			}
 			c.page(d, 0, body)
 		case "PART":
+			if d.begun && page == 1 {
+				d.engine.trip.add(c.now - d.reads)
+			}
 			c.page(d, page, body)
 		case "SHED", "LATE":
 			c.unlist(d)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -34,7 +35,8 @@
 	sent    time.Duration
 	until   time.Duration
 	pages   [][]byte
-	missing int // pages not here yet
+	missing int           // pages not here yet
+	reads   time.Duration // when they were asked for
 	begun   bool
 	ends    bool // given up, its outcome known and to be told once the engine is told
 	outcome logic.Outcome
@@ -54,9 +56,9 @@
 	}
 }
 
-// giveUp ends a dispatch that the engine may be at. The module hears of it once the engine was told to stop, or
-// the job's next dispatch could reach another engine first and two would run at once. A job that is out of time
-// gets no other, and its answer must not wait.
+// giveUp ends a dispatch that the engine may be at. The module hears of it once the engine was told to stop and
+// the word had time to arrive, or the job's next dispatch could reach a nearer engine first and two would run at
+// once. A job that is out of time gets no other, and its answer must not wait.
 func (c *Controller) giveUp(d *dispatch, o logic.Outcome) {
 	l := d.link
 	switch {
@@ -69,7 +71,7 @@
 		c.letGo(d)
 		d.ends, d.outcome = true, o
 		l.leaving[d] = true
-		l.then(func() { c.left(d) })
+		l.then(func() { c.at(c.now+d.engine.trip.most(), func() { c.left(d) }) })
 		// A connection that takes in nothing is closed, which gives up all that is open on it.
 		c.at(c.now+c.cfg.Settings.ConnectTimeout, func() {
 			if l.leaving[d] && !l.gone {
@@ -103,6 +105,9 @@
 	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
 
+// lateAnswer is what a machine that keeps up stays below.
+const lateAnswer = 20 * time.Millisecond
+
 // answer gives a job its one answer.
 func (c *Controller) answer(j *job, code byte, field, value string, body ...[]byte) {
 	k := j.client
@@ -112,6 +117,10 @@
 	j.client = nil
 	delete(k.jobs, j.stream)
 	k.idle = c.now
+	if late := c.now - j.expires; j.expires > 0 && late > lateAnswer {
+		c.counts[answersLate]++
+		c.note(slog.LevelWarn, "answer late", "job", j.id, "by", late, "code", code, "dispatches", j.sent)
+	}
 	k.send(frame.Answer, j.stream, code, field, value, body...)
 }
 
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"log/slog"
 	"time"
 )
 
@@ -30,6 +31,10 @@
 
 // ring does what is due.
 func (c *Controller) ring() {
+	if len(c.timers) > 0 && c.now-c.timers[0].at > lateAnswer {
+		c.counts[alarmsLate]++
+		c.note(slog.LevelWarn, "late", "by", c.now-c.timers[0].at)
+	}
 	for len(c.timers) > 0 && c.timers[0].at <= c.now {
 		c.later(heap.Pop(&c.timers).(alarm).do)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -426,8 +427,8 @@
 	}
 	// The edge of the window counts against us: it may be drawn either way.
 	from := c.now - c.set.BudgetWindow
-	c.taken = slices.DeleteFunc(c.taken, func(at time.Duration) bool { return at <= from })
-	c.further = slices.DeleteFunc(c.further, func(at time.Duration) bool { return at < from })
+	c.taken = c.taken[sort.Search(len(c.taken), func(n int) bool { return c.taken[n] > from }):]
+	c.further = c.further[sort.Search(len(c.further), func(n int) bool { return c.further[n] >= from }):]
 	return float64(len(c.further)+1) <= c.set.BudgetFree+c.set.BudgetShare*float64(len(c.taken))
 }
 
@@ -495,7 +496,7 @@
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
-	e.lately = slices.DeleteFunc(e.lately, func(s sending) bool { return s.at < c.now-c.set.Cold })
+	e.lately = e.lately[sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= c.now-c.set.Cold }):]
 	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
