--- a/controller/controller.go
+++ b/controller/controller.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	c.log.Info("cpus", "n", runtime.NumCPU(), "procs", runtime.GOMAXPROCS(0))
 	c.timer = time.AfterFunc(time.Hour, func() { c.do(c.ring) })
 	defer c.timer.Stop()
 	c.do(func() {
@@ -114,7 +115,7 @@
 // processor of the runtime until the monitor takes it away, so there is one more than there are cores. The
 // collector starts to press at two thirds of the memory, which leaves room for stacks and what is not counted.
 func limit(cfg config.Config) {
-	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)) + 1)
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetMemoryLimit(cfg.MemoryMB << 20 * 2 / 3)
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	row          *row
 	line         *line
 	seq, sent    int
+	level        int           // its turn, when last released
 	taken, d     time.Duration // d is the deadline
 	slack        time.Duration
 	cost, memory float64 // as told, in ns and MB, or 0
@@ -264,10 +265,7 @@
 
 // sla is when the answer stops earning its full value.
 func (c *Controller) sla(j *job) time.Duration {
-	work := j.cost
-	if work == 0 {
-		work = j.row.best * j.row.Threads
-	}
+	work := cmp.Or(j.cost, j.row.best*j.row.Threads)
 	return j.taken + j.row.SLATime + time.Duration(j.row.SLAStretch*work/j.row.Threads)
 }
 
@@ -295,14 +293,19 @@
 	return 1
 }
 
-func (c *Controller) order(a, b *job) int {
-	return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(a.slack, b.slack), cmp.Compare(a.seq, b.seq))
+func order(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.slack, b.slack), cmp.Compare(a.seq, b.seq))
 }
 
 // release sends held jobs in order while an engine has room. It is the only way to a dispatch.
 func (c *Controller) release() {
-	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
-		slices.SortFunc(c.held, c.order)
+	if c.fleet(); len(c.held) == 0 || !c.roomFor(1) {
+		return
+	}
+	for _, j := range c.held {
+		j.level = c.turn(j) // once, as a sending changes no turn
+	}
+	for slices.SortFunc(c.held, order); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			to, waits = c.choose(j)
@@ -496,8 +499,8 @@
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
-	e.lately = e.lately[sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= c.now-c.set.Cold }):]
-	e.lately = append(e.lately, sending{c.now, c.usualWork(j)})
+	old := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= c.now-c.set.Cold })
+	e.lately = append(e.lately[old:], sending{c.now, c.usualWork(j)})
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
 	if j.row.LateValue == 0 {
@@ -629,11 +632,7 @@
 		x = math.Min(x, 4*r.unit.value) // one bad plan does not move the mean
 	}
 	r.unit.add(x, learnOver)
-	if used := cmp.Or(float64(work), j.cost, r.best*r.Threads); used > 0 {
-		r.work.add(used, learnOver)
-	} else {
-		r.work.add(float64(took)*r.Threads, learnOver)
-	}
+	r.work.add(cmp.Or(float64(work), j.cost, r.best*r.Threads, float64(took)*r.Threads), learnOver)
 	if memory > 0 && j.memory > 0 {
 		r.memory.add(memory/j.memory, learnOver)
 	}
@@ -820,7 +819,6 @@
 }
 
 // No probe is sent, as answers tell as much and cost nothing, and peers are told nothing.
-func (c *Controller) ProbeAnswered(now time.Duration, id EngineID, o Outcome, took time.Duration, load Load) {
-}
+func (c *Controller) ProbeAnswered(time.Duration, EngineID, Outcome, time.Duration, Load) {}
 
 func (c *Controller) PeerTold(now time.Duration, from PeerID, message string) {}
