--- a/controller/clients.go
+++ b/controller/clients.go
@@ -201,7 +201,7 @@
 			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
 			return
 		}
-		j.expires = c.now + time.Duration(waitMS)*time.Millisecond
+		j.expires = c.now + time.Duration(waitMS)*time.Millisecond - onTheWay
 		c.jobs[j.id] = j
 		c.bytes += int64(len(j.statement))
 		c.logic.JobTaken(c.now, j.id, j.name, "", "", j.expires, time.Duration(costMS*float64(time.Millisecond)),
@@ -209,6 +209,10 @@
 	}
 }
 
+// onTheWay comes off a client's wait, which counts from when it sent the job and until it has the answer: time
+// for both ways and for a busy machine. Job timeouts are hundreds of times as long.
+const onTheWay = 25 * time.Millisecond
+
 // streamsPerClient is the protocol's, with as much again for jobs that end while others come.
 const streamsPerClient = 64
 
