What a closed connection gave up waits like a cancel; one timer goroutine; less collecting

Seen: 22 of the 26 second copies that were left followed a connection that this controller itself had closed, as a cancel's round trip, long on a busy machine, was taken for a stuck flush (log of every further dispatch). What was open there and what was leaving was told at once. Now a flush that is through counts, and a close waits for its trip.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -80,9 +80,8 @@
 	if err != nil {
 		return err
 	}
-	c.log.Info("cpus", "n", runtime.NumCPU(), "procs", runtime.GOMAXPROCS(0))
-	c.timer = time.AfterFunc(time.Hour, func() { c.do(c.ring) })
-	defer c.timer.Stop()
+	c.timer = time.NewTimer(time.Hour)
+	go c.keepTime()
 	c.do(func() {
 		c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
 		if err = c.feed.remembered(c.cfg.Known); err != nil {
@@ -111,11 +110,11 @@
 	return err
 }
 
-// limit keeps the process inside its machine. netpoll's poller waits in a system call that holds on to one
-// processor of the runtime until the monitor takes it away, so there is one more than there are cores. The
-// collector starts to press at two thirds of the memory, which leaves room for stacks and what is not counted.
+// limit keeps the process inside its machine. The collector waits until what is held has grown fourfold, a few
+// tens of MB here, and starts to press at two thirds of the memory, which leaves room for what it does not count.
 func limit(cfg config.Config) {
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	debug.SetGCPercent(300)
 	debug.SetMemoryLimit(cfg.MemoryMB << 20 * 2 / 3)
 }
 
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -49,8 +49,11 @@
 }
 
 // most is a time in which a trip is over nearly always, what the engine takes to read a command included. Ten
-// milliseconds, far above the trips of a network between neighbours and little against a job, are the least.
-func (t *trip) most() time.Duration { return max(t.mean+4*t.spread, 10*time.Millisecond) }
+// milliseconds, far above the trips of a network between neighbours and little against a job, are the least;
+// fifty the most, as trips that took longer were held up on this machine.
+func (t *trip) most() time.Duration {
+	return min(max(t.mean+4*t.spread, 10*time.Millisecond), 50*time.Millisecond)
+}
 
 // engineLink is a connection to an engine.
 type engineLink struct {
@@ -296,8 +299,8 @@
 	if len(l.open) > 0 {
 		c.counts[linksLost]++
 	}
-	for d := range l.leaving {
-		c.later(func() { c.left(d) })
+	for d := range l.leaving { // the close has to arrive too
+		c.at(c.now+e.trip.most(), func() { c.left(d) })
 	}
 	for _, id := range sorted(l.open) {
 		d := l.open[id]
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -71,7 +71,10 @@
 		c.letGo(d)
 		d.ends, d.outcome = true, o
 		l.leaving[d] = true
-		l.then(func() { c.at(c.now+d.engine.trip.most(), func() { c.left(d) }) })
+		l.then(func() {
+			l.leaving[d] = false
+			c.at(c.now+d.engine.trip.most(), func() { c.left(d) })
+		})
 		// A connection that takes in nothing is closed, which gives up all that is open on it.
 		c.at(c.now+c.cfg.Settings.ConnectTimeout, func() {
 			if l.leaving[d] && !l.gone {
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -29,6 +29,13 @@
 
 func (c *Controller) at(when time.Duration, do func()) { heap.Push(&c.timers, alarm{when, do}) }
 
+// keepTime waits for the one runtime timer, in one goroutine whose stack has grown once and for all.
+func (c *Controller) keepTime() {
+	for range c.timer.C {
+		c.do(c.ring)
+	}
+}
+
 // ring does what is due.
 func (c *Controller) ring() {
 	if len(c.timers) > 0 && c.now-c.timers[0].at > lateAnswer {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,7 +294,7 @@
 }
 
 func order(a, b *job) int {
-	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.slack, b.slack), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(a.level-b.level, cmp.Compare(a.slack, b.slack), a.seq-b.seq)
 }
 
 // release sends held jobs in order while an engine has room. It is the only way to a dispatch.
@@ -738,10 +738,10 @@
 	work := 0.0
 	for _, j := range c.held {
 		if j.line == nil || j.line.jobs[0] == j {
-			work += c.expect(j).Seconds() * j.row.Threads
+			work += float64(c.expect(j)) * j.row.Threads
 		}
 	}
-	return work / math.Max(c.bound, 1)
+	return work / 1e9 / math.Max(c.bound, 1)
 }
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
