A job's next dispatch waits for a probe answered behind the cancel of the one before

Goroutine scheduling was ruled out (runtime latencies below 5 ms), so was a fixed wait, as it would have to be as long as the slowest reader. The module now hears of a given-up dispatch at once; only a further dispatch of that job waits, for a health probe on the same connection, 100 ms at most.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -52,6 +52,7 @@
 	clients  map[*client]bool
 	engines  map[logic.EngineID]*engine
 	probes   map[string]*probe
+	fences   map[string]*dispatch
 	links    int // connections to engines, dials among them
 	feed     *feed
 	timers   timers
@@ -68,7 +69,8 @@
 func New(cfg config.Config, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
 		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[*client]bool{},
-		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{}}
+		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
+		fences: map[string]*dispatch{}}
 	c.feed = &feed{c: c}
 	return c
 }
@@ -188,7 +190,7 @@
 	c.queue = nil
 	for _, j := range c.jobs {
 		c.cancelForGood(j)
-		if d := j.out; d != nil && !d.ends {
+		if d := j.out; d != nil {
 			c.letGo(d)
 		}
 		j.out = nil
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -58,13 +58,12 @@
 // engineLink is a connection to an engine.
 type engineLink struct {
 	*link
-	engine  *engine
-	open    map[logic.JobID]*dispatch
-	leaving map[*dispatch]bool // given up, not yet flushed
-	used    time.Duration      // when a dispatch last began or ended
-	heard   time.Duration      // when bytes last came
-	stale   bool               // takes nothing new
-	gone    bool
+	engine *engine
+	open   map[logic.JobID]*dispatch
+	used   time.Duration // when a dispatch last began or ended
+	heard  time.Duration // when bytes last came
+	stale  bool          // takes nothing new
+	gone   bool
 }
 
 // probe is a question to an engine that belongs to no job.
@@ -122,7 +121,7 @@
 func (c *Controller) send(d *dispatch) {
 	e := d.engine
 	for _, l := range e.links {
-		if !l.stale && !l.gone && len(l.open) < c.cfg.Settings.Streams && l != d.job.last {
+		if !l.stale && !l.gone && len(l.open) < c.cfg.Settings.Streams && (d.job.last == nil || l != d.job.last.link) {
 			c.put(d, l)
 			return
 		}
@@ -150,7 +149,7 @@
 	head := resp.AppendWord(resp.AppendArray(make([]byte, 0, 192), 4), "serve")
 	head = resp.AppendWord(resp.AppendWord(head, string(j.id)), fields)
 	head = resp.AppendWordHead(head, len(j.statement))
-	d.link, j.last = l, l
+	d.link, j.last = l, d
 	l.open[j.id] = d
 	l.used = c.now
 	d.message = l.add(head, j.statement, []byte("\r\n"))
@@ -184,6 +183,7 @@
 			l.say("release", string(j.id))
 		} else if !l.gone {
 			l.say("cancel", string(j.id))
+			d.stopped = true
 			c.counts[cancels]++
 		}
 		c.unlist(d)
@@ -204,16 +204,15 @@
 }
 
 func (c *Controller) timeOut(d *dispatch) {
-	switch l := d.link; {
-	case d.job.out != d || d.ends:
-	default:
-		if l != nil && l.heard < d.sent {
-			// Guards against a connection to a machine that is cut off, which stays open and silent: whether a new
-			// one comes up tells more than another time-out would.
-			l.stale = true
-		}
-		c.giveUp(d, logic.TimedOut)
+	if d.job.out != d {
+		return
 	}
+	if l := d.link; l != nil && l.heard < d.sent {
+		// Guards against a connection to a machine that is cut off, which stays open and silent: whether a new one
+		// comes up tells more than another time-out would.
+		l.stale = true
+	}
+	c.giveUp(d, logic.TimedOut)
 }
 
 // weigh tells the priority of a dispatch that is out.
@@ -254,8 +253,7 @@
 			c.do(func() { c.dialed(e, n, nil, err) })
 			return
 		}
-		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{},
-			leaving: map[*dispatch]bool{}}
+		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{}}
 		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 			c.do(func() { c.engineClosed(l) })
 			return nil
@@ -299,11 +297,9 @@
 	if len(l.open) > 0 {
 		c.counts[linksLost]++
 	}
-	for d := range l.leaving { // the close has to arrive too
-		c.at(c.now+e.trip.most(), func() { c.left(d) })
-	}
 	for _, id := range sorted(l.open) {
 		d := l.open[id]
+		d.stopped = true
 		o := logic.ConnectionLost
 		if !l.wrote(d.message) {
 			o = logic.NotSent
@@ -485,6 +481,10 @@
 }
 
 func (c *Controller) probed(tag string, well bool, load logic.Load) {
+	if d := c.fences[tag]; d != nil {
+		delete(c.fences, tag)
+		c.pass(d)
+	}
 	o := logic.Done
 	if !well {
 		o = logic.Errored
--- a/controller/host.go
+++ b/controller/host.go
@@ -28,7 +28,12 @@
 		c.later(func() { c.over(d, logic.NotSent) })
 		return
 	}
-	c.send(d)
+	if p := j.last; p != nil && p.stopped {
+		d.fenced = true
+		c.fence(p, d)
+	} else {
+		c.send(d)
+	}
 	c.at(d.until, func() { c.timeOut(d) })
 }
 
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -22,7 +22,7 @@
 	priority  int
 	sent      int
 	out       *dispatch
-	last      *engineLink // where it went last: its id is not used there again
+	last      *dispatch // that was on a connection: its id is not used there again
 }
 
 // dispatch is one sending of a job, from the module's call until its outcome is told.
@@ -38,8 +38,8 @@
 	missing int           // pages not here yet
 	reads   time.Duration // when they were asked for
 	begun   bool
-	ends    bool // given up, its outcome known and to be told once the engine is told
-	outcome logic.Outcome
+	stopped bool // the engine was told to stop, or the connection closed
+	fenced  bool // waits until the one before has stopped
 	work    time.Duration
 	memory  float64
 	load    logic.Load
@@ -50,62 +50,57 @@
 
 // over ends a dispatch that is still out, on the wire and then for the module.
 func (c *Controller) over(d *dispatch, o logic.Outcome) {
-	if d.job.out == d && !d.ends {
-		c.letGo(d)
-		c.tell(d, o)
+	j := d.job
+	if j.out != d {
+		return
 	}
+	c.letGo(d)
+	j.out = nil
+	c.counts[outcomeCounter(o)]++
+	ended := j.client == nil
+	if ended {
+		c.forget(j)
+	}
+	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
 
-// giveUp ends a dispatch that the engine may be at. The module hears of it once the engine was told to stop and
-// the word had time to arrive, or the job's next dispatch could reach a nearer engine first and two would run at
-// once. A job that is out of time gets no other, and its answer must not wait.
+// giveUp ends a dispatch that the engine may be at, or one that never left.
 func (c *Controller) giveUp(d *dispatch, o logic.Outcome) {
-	l := d.link
-	switch {
-	case d.job.out != d || d.ends:
-	case l == nil:
-		c.over(d, logic.NotSent)
-	case l.gone || d.job.client == nil || c.now >= d.job.expires:
-		c.over(d, o)
-	default:
-		c.letGo(d)
-		d.ends, d.outcome = true, o
-		l.leaving[d] = true
-		l.then(func() {
-			l.leaving[d] = false
-			c.at(c.now+d.engine.trip.most(), func() { c.left(d) })
-		})
-		// A connection that takes in nothing is closed, which gives up all that is open on it.
-		c.at(c.now+c.cfg.Settings.ConnectTimeout, func() {
-			if l.leaving[d] && !l.gone {
-				c.counts[enginesTooSlow]++
-				l.stale = true
-				c.closeSoon(l.conn)
-			}
-		})
-		// The connection may be so full that not even its close comes before the job is out of time.
-		c.at(d.job.expires, func() { c.left(d) })
+	if d.link == nil {
+		o = logic.NotSent
 	}
+	c.over(d, o)
 }
 
-// left tells the outcome of a dispatch that was given up.
-func (c *Controller) left(d *dispatch) {
-	if d.job.out == d {
-		delete(d.link.leaving, d)
-		c.tell(d, d.outcome)
+// fenceWait is for the answer of an engine that was told to stop: many trips, and little against a job.
+const fenceWait = 100 * time.Millisecond
+
+// fence guards against two dispatches of a job at once: the word to stop the one before may be slower than the
+// next one to a nearer engine. Where probes are allowed, an answer to one that follows that word on the same
+// connection tells that it has arrived; elsewhere, and from a silent engine, a time in which it should have.
+func (c *Controller) fence(before, next *dispatch) {
+	l, pass := before.link, func() { c.pass(next) }
+	c.at(c.now+fenceWait, pass)
+	switch {
+	case l.gone:
+		c.at(c.now+l.engine.trip.most(), pass)
+	case c.cfg.Settings.Probes:
+		tag := "fence-" + strconv.FormatInt(c.counts[fences], 10)
+		c.counts[fences]++
+		c.fences[tag] = next
+		l.say("health", tag)
+		c.at(c.now+fenceWait, func() { delete(c.fences, tag) })
+	default:
+		l.then(func() { c.at(c.now+l.engine.trip.most(), pass) })
 	}
 }
 
-// tell hands the outcome of a dispatch to the module.
-func (c *Controller) tell(d *dispatch, o logic.Outcome) {
-	j := d.job
-	j.out = nil
-	c.counts[outcomeCounter(o)]++
-	ended := j.client == nil
-	if ended {
-		c.forget(j)
+// pass sends a dispatch that waited at a fence.
+func (c *Controller) pass(d *dispatch) {
+	if d.fenced && d.job.out == d {
+		d.fenced = false
+		c.send(d)
 	}
-	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
 
 // lateAnswer is what a machine that keeps up stays below.
