--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,8 @@
 	row          *row
 	line         *line
 	seq, sent    int
-	level        int           // its turn, when last released
+	level        int           // its turn, when last ranked, as are
+	work, worth  float64       // the thread time it keeps a bound busy, and the value for that
 	taken, d     time.Duration // d is the deadline
 	slack        time.Duration
 	cost, memory float64 // as told, in ns and MB, or 0
@@ -106,7 +107,9 @@
 	engines        []*engine // by id, so that no order depends on a map
 	byID           map[EngineID]*engine
 	jobs           map[JobID]*job
-	held           []*job
+	held           []*job        // in order
+	ranked         time.Duration // when
+	work           float64       // of all held
 	lines          map[Key]*line
 	taken, further []time.Duration // rule 7: jobs taken and further dispatches in the window
 	seq            int
@@ -257,10 +260,7 @@
 }
 
 func (j *job) unitCost() float64 {
-	if j.cost > 0 {
-		return j.cost / j.row.Threads
-	}
-	return 1
+	return cmp.Or(j.cost/j.row.Threads, 1)
 }
 
 // sla is when the answer stops earning its full value.
@@ -272,7 +272,39 @@
 func (c *Controller) hold(j *job) {
 	j.slack = j.d - (c.now + c.expect(j))
 	j.out = nil
-	c.held = append(c.held, j)
+	c.weigh(j)
+	at, _ := slices.BinarySearchFunc(c.held, j, order)
+	c.held = slices.Insert(c.held, at, j)
+}
+
+func (c *Controller) unhold(j *job) {
+	if at, held := slices.BinarySearchFunc(c.held, j, order); held {
+		c.held = slices.Delete(c.held, at, at+1)
+		c.work -= j.work
+	}
+}
+
+// weigh works out what the order of held jobs, their drain and their shedding rest on. A job behind one of its
+// key waits for that and adds no work.
+func (c *Controller) weigh(j *job) {
+	work := float64(c.expect(j)) * j.row.Threads
+	j.level, j.work, j.worth = c.turn(j), work, j.row.Value/(work+1)
+	if j.over {
+		j.worth *= c.set.OverShareValue
+	}
+	if j.line != nil && j.line.jobs[0] != j {
+		j.work = 0
+	}
+	c.work += j.work
+}
+
+// rank does so anew for all held, once a tick, as time and what is learned change little in one.
+func (c *Controller) rank() {
+	c.ranked, c.work = c.now, 0
+	for _, j := range c.held {
+		c.weigh(j)
+	}
+	slices.SortFunc(c.held, order)
 }
 
 func without(list []*job, j *job) []*job {
@@ -299,13 +331,10 @@
 
 // release sends held jobs in order while an engine has room. It is the only way to a dispatch.
 func (c *Controller) release() {
-	if c.fleet(); len(c.held) == 0 || !c.roomFor(1) {
-		return
-	}
-	for _, j := range c.held {
-		j.level = c.turn(j) // once, as a sending changes no turn
+	if c.now >= c.ranked+c.set.Tick {
+		c.rank()
 	}
-	for slices.SortFunc(c.held, order); len(c.held) > 0 && c.roomFor(1); c.fleet() {
+	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			to, waits = c.choose(j)
@@ -315,7 +344,6 @@
 			return
 		}
 		c.send(c.held[at], to)
-		c.held = slices.Delete(c.held, at, at+1)
 	}
 }
 
@@ -482,13 +510,11 @@
 }
 
 func (c *Controller) usualWork(j *job) time.Duration {
-	if j.row.work.n == 0 {
-		return time.Duration(float64(j.row.SLATime) * j.row.Threads)
-	}
-	return time.Duration(j.row.work.value)
+	return time.Duration(cmp.Or(j.row.work.value, float64(j.row.SLATime)*j.row.Threads))
 }
 
 func (c *Controller) send(j *job, e *engine) {
+	c.unhold(j)
 	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now}
 	c.terms(j, e)
 	if j.sent > 0 && c.set.BudgetWindow > 0 {
@@ -516,16 +542,11 @@
 	if j.memory <= 0 || !c.set.GrantsCount {
 		return
 	}
-	grant := j.memory * 1.25
+	grant := j.memory * cmp.Or(j.row.memory.value, 1) * 1.25
 	if c.set.OverGrantsPage {
-		grant = j.memory * 1.6
-	}
-	if j.row.memory.n > 0 {
-		grant *= j.row.memory.value
-	}
-	if most := c.set.GrantShare * e.memoryMB; most > 0 {
-		grant = math.Min(grant, most)
+		grant *= 1.28
 	}
+	grant = math.Min(grant, cmp.Or(c.set.GrantShare*e.memoryMB, grant))
 	priority := 1
 	if c.set.PriorityHeeded && j.slack < c.expect(j) {
 		priority = 2
@@ -581,16 +602,14 @@
 	e := d.engine
 	switch o {
 	case Done:
-		e.answered, e.silent = c.now, 0
-		e.errors *= 0.8
+		e.answered, e.silent, e.errors = c.now, 0, e.errors*0.8
 		if e.suspected {
 			e.suspected, e.wait, e.errors = false, 0, 0
 			c.host.Log(fmt.Sprintf("engine %s answers again", e.id))
 		}
 	case Errored:
 		// Guards against an engine that fails jobs fast and so seems to have room: two in a row, or a third.
-		e.answered, e.silent = c.now, 0
-		e.errors = e.errors*0.8 + 0.2
+		e.answered, e.silent, e.errors = c.now, 0, e.errors*0.8+0.2
 		if e.errors > 0.35 || e.suspected {
 			c.suspect(e, "errors")
 		}
@@ -688,7 +707,7 @@
 
 // end gives the final answer: a throttling reply where it is true that a retry does no harm.
 func (c *Controller) end(j *job) {
-	c.held = without(c.held, j)
+	c.unhold(j)
 	j.ended = true
 	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
 		// The advised wait is the time that the held work takes.
@@ -716,7 +735,7 @@
 	c.now = now
 	if j := c.jobs[id]; j != nil {
 		j.ended = true
-		c.held = without(c.held, j)
+		c.unhold(j)
 		if j.out == nil {
 			c.forget(j)
 		} else {
@@ -733,31 +752,15 @@
 	}
 }
 
-// drain is the seconds that the held jobs keep all bounds busy; those behind one of their key wait for that.
-func (c *Controller) drain() float64 {
-	work := 0.0
-	for _, j := range c.held {
-		if j.line == nil || j.line.jobs[0] == j {
-			work += float64(c.expect(j)) * j.row.Threads
-		}
-	}
-	return work / 1e9 / math.Max(c.bound, 1)
-}
+// drain is the seconds that the held jobs keep all bounds busy.
+func (c *Controller) drain() float64 { return c.work / 1e9 / math.Max(c.bound, 1) }
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
 // leaves in useful time, half the shortest SLA time (all of it left more late).
 func (c *Controller) shed() {
-	value := func(j *job) float64 {
-		v := j.row.Value / (c.expect(j).Seconds()*j.row.Threads + 1e-9)
-		if j.over {
-			v *= c.set.OverShareValue
-		}
-		return v
-	}
+	least := func(a, b *job) int { return cmp.Or(cmp.Compare(a.worth, b.worth), a.seq-b.seq) }
 	for len(c.held) > 1 && c.drain() > c.shortest.Seconds()/2 {
-		c.end(slices.MinFunc(c.held, func(a, b *job) int {
-			return cmp.Or(cmp.Compare(value(a), value(b)), cmp.Compare(a.seq, b.seq))
-		}))
+		c.end(slices.MinFunc(c.held, least))
 	}
 }
 
