--- a/logic/logic.go
+++ b/logic/logic.go
@@ -71,7 +71,7 @@
 	rests time.Duration // until then
 }
 
-type sending struct{ at, work time.Duration } // for rule 4
+type sending struct{ at, before time.Duration } // for rule 4; before: all work sent until then
 
 // engine is what this controller knows of an engine while it stays known.
 type engine struct {
@@ -88,6 +88,7 @@
 	slow            mean    // latency over the best
 	out             []*job
 	lately          []sending
+	given           time.Duration // all work sent
 	errors          float64       // share of late
 	full, reported  float64       // memory granted, as last reported, and when in s
 	answered        time.Duration // when an answer last came
@@ -219,10 +220,8 @@
 		c.taken = append(c.taken, now)
 	}
 	if r.Ordered && key != "" {
-		if c.lines[key] == nil {
-			c.lines[key] = &line{}
-		}
-		j.line = c.lines[key]
+		j.line = cmp.Or(c.lines[key], &line{})
+		c.lines[key] = j.line
 		j.line.jobs = append(j.line.jobs, j)
 	}
 	from := c.customers[cust]
@@ -271,7 +270,6 @@
 
 func (c *Controller) hold(j *job) {
 	j.slack = j.d - (c.now + c.expect(j))
-	j.out = nil
 	c.weigh(j)
 	at, _ := slices.BinarySearchFunc(c.held, j, order)
 	c.held = slices.Insert(c.held, at, j)
@@ -284,8 +282,7 @@
 	}
 }
 
-// weigh works out what the order of held jobs, their drain and their shedding rest on. A job behind one of its
-// key waits for that and adds no work.
+// weigh works out what order, drain and shedding rest on. A job behind one of its key adds no work.
 func (c *Controller) weigh(j *job) {
 	work := float64(c.expect(j)) * j.row.Threads
 	j.level, j.work, j.worth = c.turn(j), work, j.row.Value/(work+1)
@@ -336,8 +333,13 @@
 	}
 	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
+		var barred []*row // from all engines, so that no other job of the type is tried
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
-			to, waits = c.choose(j)
+			if fresh := j.line == nil && j.sent == 0; fresh && slices.Contains(barred, j.row) {
+				return false
+			} else if to, waits = c.choose(j); fresh && to == nil && !waits {
+				barred = append(barred, j.row)
+			}
 			return to != nil || waits
 		})
 		if to == nil {
@@ -501,10 +503,9 @@
 	if e.dealt == 0 || work > whole || turn*turns > 1 {
 		return false
 	}
-	for _, s := range e.lately {
-		if s.at >= c.now-c.set.Fall*time.Duration(turns) {
-			work += float64(s.work)
-		}
+	from := c.now - c.set.Fall*time.Duration(turns)
+	if n := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= from }); n < len(e.lately) {
+		work += float64(e.given - e.lately[n].before)
 	}
 	return work <= turns*part
 }
@@ -526,7 +527,8 @@
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
 	old := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= c.now-c.set.Cold })
-	e.lately = append(e.lately[old:], sending{c.now, c.usualWork(j)})
+	e.lately = append(e.lately[old:], sending{c.now, e.given})
+	e.given += c.usualWork(j)
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
 	if j.row.LateValue == 0 {
@@ -636,8 +638,7 @@
 	} else {
 		e.wait = min(2*e.wait, 4*time.Second)
 	}
-	e.suspected = true
-	e.trial = c.now + e.wait
+	e.suspected, e.trial = true, c.now+e.wait
 }
 
 // One bad plan or wait behind a load shrinks no bound; slowness spans about a bound's worth of answers.
