--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -123,7 +124,7 @@
 	var form *json.UnmarshalTypeError
 	switch {
 	case errors.As(err, &form):
-		key := form.Field
+		key := strings.ToLower(form.Field) // as the file has it: fields without a tag are named by their Go name
 		if at != "" {
 			key = at + "." + key
 		}
--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,578 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"yarrowbarrow/config"
+	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/internal/resp"
+)
+
+// patience bounds every wait of these tests; none of them sleeps.
+const patience = 10 * time.Second
+
+// standIn is an engine: what it is told comes out of said, and answers go where they were asked for.
+type standIn struct {
+	t    *testing.T
+	ln   net.Listener
+	said chan command
+}
+
+type command struct {
+	conn  net.Conn
+	words []string
+}
+
+func newStandIn(t *testing.T, address string) *standIn {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &standIn{t: t, ln: ln, said: make(chan command, 1000)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			t.Cleanup(func() { conn.Close() })
+			go e.listen(conn)
+		}
+	}()
+	return e
+}
+
+func (e *standIn) listen(conn net.Conn) {
+	var data []byte
+	for buf := make([]byte, 4096); ; {
+		n, err := conn.Read(buf)
+		if err != nil {
+			return
+		}
+		data = append(data, buf[:n]...)
+		for {
+			words, size, err := resp.Next(data, nil)
+			if size == 0 || err != nil {
+				break
+			}
+			c := command{conn: conn}
+			for _, word := range words {
+				c.words = append(c.words, string(word))
+			}
+			data = data[size:]
+			e.said <- c
+		}
+	}
+}
+
+// hears waits for a command that begins so; others are passed over.
+func (e *standIn) hears(verb string) command {
+	e.t.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case c := <-e.said:
+			if c.words[0] == verb {
+				return c
+			}
+		case <-late:
+			e.t.Fatal("no ", verb)
+		}
+	}
+}
+
+func (c command) answer(words ...string) {
+	line := resp.AppendArray(nil, 4)
+	for _, word := range append([]string{c.words[1]}, words...) {
+		line = resp.AppendWord(line, word)
+	}
+	_, _ = c.conn.Write(line)
+}
+
+// list is a control feed: it holds events and answers calls over HTTP.
+type list struct {
+	ln     net.Listener
+	mu     sync.Mutex
+	events []string
+	wakes  chan struct{}
+	raw    string // answered instead, once
+}
+
+func newList(t *testing.T) *list {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &list{ln: ln, wakes: make(chan struct{})}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			t.Cleanup(func() { conn.Close() })
+			go l.serve(conn)
+		}
+	}()
+	return l
+}
+
+func (l *list) serve(conn net.Conn) {
+	for buf := make([]byte, 4096); ; {
+		n, err := conn.Read(buf)
+		if err != nil {
+			return
+		}
+		_, after, _ := strings.Cut(string(buf[:n]), "SUB=")
+		after, _, _ = strings.Cut(after, "&")
+		last, _ := strconv.Atoi(after)
+		for {
+			l.mu.Lock()
+			wakes, raw, body := l.wakes, l.raw, l.text(last)
+			has := len(l.events) > last
+			l.raw = ""
+			l.mu.Unlock()
+			if raw != "" {
+				_, _ = conn.Write([]byte(raw))
+				break
+			}
+			if has {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+				break
+			}
+			<-wakes
+		}
+	}
+}
+
+// text is the events behind a number.
+func (l *list) text(last int) string {
+	return fmt.Sprintf(`{"n":%d,"events":[%s]}`, len(l.events), strings.Join(l.events[min(last, len(l.events)):], ","))
+}
+
+// tell adds an event: engines as id, address and state.
+func (l *list) tell(whole bool, engines ...[3]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var hosts []string
+	for _, e := range engines {
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"east","class":"std","health":%q}`, e[0], e[1], e[2]))
+	}
+	l.events = append(l.events, fmt.Sprintf(`{"n":%d,"members":{"seq":1,"whole":%v,"hosts":[%s]}}`, len(l.events)+1,
+		whole, strings.Join(hosts, ",")))
+	close(l.wakes)
+	l.wakes = make(chan struct{})
+}
+
+func (l *list) answersOnce(raw string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.raw = raw
+	close(l.wakes)
+	l.wakes = make(chan struct{})
+}
+
+// bed is a controller between stand-ins.
+type bed struct {
+	t       *testing.T
+	c       *Controller
+	list    *list
+	address string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func start(t *testing.T, permissions string, engines ...*standIn) *bed {
+	b := &bed{t: t, list: newList(t), ended: make(chan error, 1)}
+	var hosts [][3]string
+	for n, e := range engines {
+		hosts = append(hosts, [3]string{"e" + strconv.Itoa(n), e.ln.Addr().String(), "active"})
+	}
+	b.list.tell(true, hosts...)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = free.Addr().String()
+	free.Close()
+	cfg, err := config.Read(fmt.Appendf(nil, `{"name":"n","listen":%q,"seed":"1","feed":%q,"known":%s,"settings":{
+		"classes":[{"name":"quick","aim":500000000,"deadline":3000000000,"gain":1,"late_worth":0.5,"repeat":"retryable"},
+		{"name":"load","aim":500000000,"deadline":3000000000,"gain":1,"late_worth":0.5,"repeat":"dedup","group":"all",
+		"key_ttl":12000000000}],"machine_types":["std"],"zone":"east","tick":5000000,
+		"family_info":{"kind_cores":[4],"ram_of_kind_mb":[1000],"grants_count":true,"grant_cap":0.5},
+		"permissions":{"connect_timeout":250000000,"streams_per_conn":32,"max_attempts":3,"may_cancel":true,
+		"retry_after":true,"max_retry_after":1000000000%s}}}`, b.address, b.list.ln.Addr(), b.list.text(0),
+		permissions), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.c = New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	go func() { b.ended <- b.c.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		b.exits()
+	})
+	return b
+}
+
+// exits waits for the end of Run, once or again.
+func (b *bed) exits() {
+	b.t.Helper()
+	select {
+	case err := <-b.ended:
+		if err != nil {
+			b.t.Error("Run:", err)
+		}
+		b.ended <- nil
+	case <-time.After(patience):
+		b.t.Error("Run does not end")
+	}
+}
+
+type conn struct {
+	net.Conn
+	t *testing.T
+}
+
+// client connects and waits until the controller is ready.
+func (b *bed) client() conn {
+	b.t.Helper()
+	for late := time.Now().Add(patience); time.Now().Before(late); {
+		c, err := net.Dial("tcp", b.address)
+		if err != nil {
+			continue
+		}
+		b.t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(patience))
+		k := conn{c, b.t}
+		k.write(frame.AppendHead(nil, frame.Ready, 900, 1), []byte{0})
+		k.gets(frame.IsReady, 900, 1, "")
+		return k
+	}
+	b.t.Fatal("not ready")
+	return conn{}
+}
+
+func (k conn) write(parts ...[]byte) {
+	if _, err := k.Write(bytes.Join(parts, nil)); err != nil {
+		k.t.Fatal(err)
+	}
+}
+
+// asks sends a job; fields come in pairs.
+func (k conn) asks(stream uint32, body string, fields ...string) {
+	payload := []byte{byte(len(fields) / 2)}
+	for n := 0; n < len(fields); n += 2 {
+		payload = frame.AppendField(payload, fields[n], fields[n+1])
+	}
+	payload = append(payload, body...)
+	k.write(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload)
+}
+
+func (k conn) quick(stream uint32, wait string) {
+	k.asks(stream, "select 1", "class", "quick", "id", fmt.Sprintf("%016x", stream), "wait", wait)
+}
+
+// gets reads the next frame and gives its fields.
+func (k conn) gets(kind byte, stream uint32, code byte, body string) map[string]string {
+	k.t.Helper()
+	head := make([]byte, frame.HeadSize)
+	if _, err := io.ReadFull(k, head); err != nil {
+		k.t.Fatal("no frame: ", err)
+	}
+	payload := make([]byte, int(head[2])<<8+int(head[3])-frame.MinLength)
+	if _, err := io.ReadFull(k, payload); err != nil {
+		k.t.Fatal(err)
+	}
+	fields := map[string]string{}
+	var rest []byte
+	if len(payload) > 0 {
+		rest, _ = frame.Fields(payload[1:], func(name, value []byte) { fields[string(name)] = string(value) })
+		if payload[0] != code {
+			k.t.Fatalf("code %d, wanted %d (%v)", payload[0], code, fields)
+		}
+	}
+	if head[4] != kind || head[8] != byte(stream) || string(rest) != body {
+		k.t.Fatalf("type %d, stream %d, body %q; wanted %d, %d, %q", head[4], head[8], rest, kind, byte(stream), body)
+	}
+	return fields
+}
+
+func (k conn) closes() {
+	k.t.Helper()
+	if n, err := k.Read(make([]byte, 1)); err != io.EOF {
+		k.t.Fatal("still open: ", n, err)
+	}
+}
+
+func TestPages(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", e).client()
+	k.asks(1, "select * from a_1.t\r\n*1", "class", "load", "id", "00000000000000a1", "wait", "2000", "once", "k1",
+		"memory", "100", "cost", "20.5")
+	c := e.hears("serve")
+	if c.words[1] != "00000000000000a1" || c.words[3] != "select * from a_1.t\r\n*1" ||
+		!strings.HasPrefix(c.words[2], "class=load,wait=") || !strings.Contains(c.words[2], ",once=k1,heap=125") {
+		t.Errorf("%q", c.words)
+	}
+	c.answer("HIT", "count=3,ticks=20,footprint=96,stats=util:0.5", "a\tb\tc\n")
+	e.hears("read")
+	e.hears("read")
+	c.answer("PART", "pos=2", "g\th\ti\n")
+	c.answer("PART", "pos=1", "d\te\tf\n")
+	k.gets(frame.Answer, 1, frame.Done, "a\tb\tc\nd\te\tf\ng\th\ti\n")
+	if r := e.hears("release"); r.words[1] != "00000000000000a1" {
+		t.Error(r.words)
+	}
+}
+
+// TestFaultyPages: a page that is there already, or not whole, is an error of the dispatch; another one is tried.
+func TestFaultyPages(t *testing.T) {
+	for _, page := range []string{"x\n", "no end of row"} {
+		e := newStandIn(t, "127.0.0.1:0")
+		k := start(t, "", e).client()
+		k.quick(1, "2500")
+		c := e.hears("serve")
+		c.answer("HIT", "count=2", "a\n")
+		c.answer("PART", "pos="+strconv.Itoa(len(page)%2), page)
+		e.hears("serve").answer("HIT", "count=1", "b\n")
+		k.gets(frame.Answer, 1, frame.Done, "b\n")
+	}
+}
+
+func TestThrottledWithAfter(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, `,"open_cap":1`, e).client()
+	k.quick(1, "2000")
+	c := e.hears("serve")
+	k.quick(2, "2000")
+	if fields := k.gets(frame.Answer, 2, frame.Throttled, ""); fields["after"] != "1000" {
+		t.Error(fields)
+	}
+	c.answer("HIT", "count=1", "")
+	k.gets(frame.Answer, 1, frame.Done, "")
+}
+
+func TestEngineResets(t *testing.T) {
+	a, b := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", a, b).client()
+	k.quick(1, "2500")
+	var c command
+	other := a
+	select {
+	case c = <-a.said:
+		other = b
+	case c = <-b.said:
+	}
+	c.answer("HIT", "count=2", "a\n")
+	_ = c.conn.(*net.TCPConn).SetLinger(0)
+	c.conn.Close()
+	other.hears("serve").answer("HIT", "count=1", "b\n")
+	k.gets(frame.Answer, 1, frame.Done, "b\n")
+}
+
+func TestSilentEngine(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", e).client()
+	began := time.Now()
+	k.quick(1, "600")
+	e.hears("serve")
+	k.gets(frame.Answer, 1, frame.Throttled, "")
+	if took := time.Since(began); took > 650*time.Millisecond {
+		t.Error("answered after", took)
+	}
+	e.hears("cancel")
+}
+
+// TestStopsBeforeNext: the next dispatch goes out only once the engine has taken in that the one before is over.
+func TestStopsBeforeNext(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, `,"probes":true`, e).client()
+	k.asks(1, "select 1", "class", "quick", "id", "0000000000000001", "wait", "2900", "cost", "10")
+	e.hears("serve")
+	e.hears("cancel")
+	fence := e.hears("health")
+	select {
+	case c := <-e.said:
+		t.Error("before the fence: ", c.words)
+	default:
+	}
+	fence.answer("PONG", "-", "")
+	e.hears("serve").answer("HIT", "count=1", "a\n")
+	k.gets(frame.Answer, 1, frame.Done, "a\n")
+}
+
+func TestClientGone(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", e).client()
+	k.quick(1, "2000")
+	e.hears("serve")
+	k.write(frame.AppendHead(nil, frame.Gone, 1, 0))
+	if c := e.hears("cancel"); c.words[1] != "0000000000000001" {
+		t.Error(c.words)
+	}
+	k.quick(2, "2000") // the next answer is the next job's
+	e.hears("serve").answer("HIT", "count=1", "b\n")
+	k.gets(frame.Answer, 2, frame.Done, "b\n")
+	k.Close()
+}
+
+func TestEngineReplaced(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "2900")
+	old := e.hears("serve")
+	b.list.tell(false, [3]string{"e9", e.ln.Addr().String(), "active"}, [3]string{"e0", e.ln.Addr().String(), "left"})
+	k.quick(2, "2900")
+	c := e.hears("serve")
+	if c.conn == old.conn && c.words[1] == "0000000000000002" {
+		// Told before the change arrived; the next job is sent after it.
+		c.answer("HIT", "count=1", "a\n")
+		k.gets(frame.Answer, 2, frame.Done, "a\n")
+		b.knows("e9")
+		k.quick(3, "2900")
+		c = e.hears("serve")
+	}
+	if c.conn == old.conn {
+		t.Error("the old engine's connection")
+	}
+}
+
+// knows waits until an engine is listed; the condition is looked at under the lock, as events are told there.
+func (b *bed) knows(id string) {
+	for late := time.Now().Add(patience); time.Now().Before(late); {
+		known := false
+		b.c.do(func() {
+			for e := range b.c.engines {
+				known = known || string(e) == id
+			}
+		})
+		if known {
+			return
+		}
+	}
+	b.t.Fatal("not listed: ", id)
+}
+
+func TestFeedLost(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	b.list.answersOnce("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	k.quick(1, "2000")
+	e.hears("serve").answer("HIT", "count=1", "a\n")
+	k.gets(frame.Answer, 1, frame.Done, "a\n")
+	b.list.tell(false, [3]string{"e9", f.ln.Addr().String(), "active"}) // heard once the feed is back
+	b.knows("e9")
+}
+
+func TestStopsWithJobsOpen(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "2000")
+	c := e.hears("serve")
+	b.stop()
+	k.gets(frame.NoMore, 0, 0, "")
+	k.write(frame.AppendHead(nil, frame.Ready, 5, 1), []byte{0})
+	k.gets(frame.IsReady, 5, 2, "")
+	k.quick(2, "2000") // crossed the word to stop
+	d := e.hears("serve")
+	c.answer("HIT", "count=1", "a\n")
+	k.gets(frame.Answer, 1, frame.Done, "a\n")
+	d.answer("HIT", "count=1", "b\n")
+	k.gets(frame.Answer, 2, frame.Done, "b\n")
+	b.exits()
+}
+
+// TestStopsOnSilence: what nothing answers is cancelled for good before the time is over.
+func TestStopsOnSilence(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "60000")
+	e.hears("serve")
+	began := time.Now()
+	b.stop()
+	k.gets(frame.NoMore, 0, 0, "")
+	k.gets(frame.Answer, 1, frame.Throttled, "")
+	b.exits()
+	if took := time.Since(began); took > 3700*time.Millisecond {
+		t.Error("exit after", took)
+	}
+}
+
+func TestMalformedFromClient(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	for stream, fields := range [][]string{
+		{"id", "0000000000000001", "wait", "100"},
+		{"class", "nope", "id", "0000000000000001", "wait", "100"},
+		{"class", "quick", "id", "1", "wait", "100"},
+		{"class", "quick", "id", "0000000000000001"},
+		{"class", "quick", "id", "0000000000000001", "wait", "soon"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "cost", "-1"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "once", "a,heap=9"},
+	} {
+		k.asks(uint32(stream+1), "", fields...)
+		if got := k.gets(frame.Answer, uint32(stream+1), frame.CancelledFor, ""); got["error"] == "" {
+			t.Error(got)
+		}
+	}
+	for _, data := range [][]byte{{0, 0, 0, 1}, {0x7f, 0, 0, 0}, frame.AppendHead(nil, 77, 1, 0)} {
+		k := b.client()
+		k.write(data)
+		k.gets(frame.Answer, 0, frame.CancelledFor, "")
+		k.closes()
+	}
+	k.quick(20, "2000") // a stream that is in use can't be told apart any more
+	e.hears("serve")
+	k.quick(20, "2000")
+	k.gets(frame.Answer, 0, frame.CancelledFor, "")
+	k.closes()
+	e.hears("cancel")
+}
+
+func TestMalformedFromEngine(t *testing.T) {
+	for _, answer := range []string{"garbage\r\n", "*1\r\n$1\r\na\r\n"} {
+		e := newStandIn(t, "127.0.0.1:0")
+		k := start(t, "", e).client()
+		k.quick(1, "2900")
+		_, _ = e.hears("serve").conn.Write([]byte(answer))
+		e.hears("serve").answer("HIT", "count=1", "b\n")
+		k.gets(frame.Answer, 1, frame.Done, "b\n")
+	}
+}
+
+func TestPanic(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "2000")
+	e.hears("serve")
+	b.c.do(func() { panic("for the test") })
+	k.gets(frame.Answer, 1, frame.CancelledFor, "")
+	e.hears("cancel")
+	k.quick(2, "2000")
+	e.hears("serve").answer("HIT", "count=1", "b\n")
+	k.gets(frame.Answer, 2, frame.Done, "b\n")
+}
+
+// TestUnreachable: a refused connection proves that nothing ran, and the job goes elsewhere.
+func TestUnreachable(t *testing.T) {
+	a, b := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", a, b).client()
+	a.ln.Close()
+	for stream := uint32(1); stream <= 4; stream++ {
+		k.asks(stream, "", "class", "load", "id", fmt.Sprintf("%016x", stream), "wait", "2900", "once", "k")
+		b.hears("serve").answer("HIT", "count=1", "b\n")
+		k.gets(frame.Answer, stream, frame.Done, "b\n")
+	}
+}
