--- a/controller/clients.go
+++ b/controller/clients.go
@@ -72,6 +72,10 @@
 		return conn.Close()
 	}
 	c := k.c
+	if k.faulty { // closes as soon as it has been told
+		_ = conn.Reader().Skip(conn.Reader().Len())
+		return conn.Reader().Release()
+	}
 	var calls []func()
 	err := k.read(func(data []byte) (int, error) {
 		kind, stream, payload, size, err := frame.Next(data)
@@ -101,7 +105,7 @@
 		}
 		return size, nil
 	}, func() {
-		if len(calls) > 0 && !k.faulty {
+		if len(calls) > 0 {
 			c.do(func() {
 				for _, call := range calls {
 					call()
@@ -109,8 +113,7 @@
 			})
 		}
 	})
-	if err != nil && !k.faulty {
-		k.faulty = true
+	if err != nil {
 		c.do(func() { c.misread(k, err) })
 	}
 	return nil
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -434,6 +434,7 @@
 		c.counts[done]++
 	}
 	c.answer(d.job, frame.Done, "", "", d.pages...)
+	d.pages = nil // alarms may hold on to the dispatch for seconds
 	c.over(d, logic.Done)
 }
 
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -30,8 +30,10 @@
 	pause     time.Duration // after the last failure
 }
 
-// longestWait is the longest that the feed holds a call; a call without an answer by slack later has failed.
-const longestWait, callSlack = 5 * time.Second, 2 * time.Second
+// longestWait is for the feed to hold a call, at most 5 s by its protocol; a call without an answer by slack later
+// has failed. Both together are below the two seconds in which a drain is usually to be acted on, as a connection
+// that is dead says nothing.
+const longestWait, callSlack = time.Second, 500 * time.Millisecond
 
 // remembered tells the module what the configuration knows.
 func (f *feed) remembered(known []byte) error {
@@ -175,8 +177,8 @@
 		c.closeSoon(f.link.conn)
 		f.link = nil
 	}
-	// From a tenth of a second up to two: changes are acted on within the drain grace of the usual settings.
-	f.pause = min(max(2*f.pause, 100*time.Millisecond), 2*time.Second)
+	// The pauses are short for the same reason; one call in that time is little to ask of a feed that comes back.
+	f.pause = min(max(2*f.pause, 50*time.Millisecond), 400*time.Millisecond)
 	if c.cfg.Settings.Logic.ListOnRequest {
 		f.following = false
 		c.logic.ListBegins(c.now, logic.ListRefused)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -145,6 +145,7 @@
 	if c.jobs[j.id] == j {
 		delete(c.jobs, j.id)
 		c.bytes -= int64(len(j.statement))
+		j.statement = nil // as with pages
 	}
 }
 
