--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"yarrowbarrow/config"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/resp"
@@ -576,3 +578,35 @@
 		k.gets(frame.Answer, stream, frame.Done, "b\n")
 	}
 }
+
+// TestWithdrawn: on a connection that takes in nothing, what was not written is taken back and never arrives.
+func TestWithdrawn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := netpoll.DialConnection("tcp", ln.Addr().String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{conn: conn, wake: make(chan struct{}, 1)} // no writer runs
+	first, second := l.add([]byte("first ")), l.add([]byte("sec"), []byte("ond "))
+	third := l.add([]byte("third"))
+	if !l.withdraw(second) || l.withdraw(second) || l.wrote(first) || l.backlog() != len("first third") {
+		t.Error("not withdrawn", l.backlog())
+	}
+	if size, _, _, _ := l.hand(); size != len("first third") || !l.wrote(third) || l.withdraw(third) {
+		t.Error("withdrawn too late", size)
+	}
+	_ = conn.Writer().Flush()
+	conn.Close()
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if got, err := io.ReadAll(peer); string(got) != "first third" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -179,7 +179,9 @@
 	}
 	l := d.link
 	if l.open[j.id] == d {
-		if d.begun {
+		if d.withdrawn {
+			c.counts[withdrawn]++
+		} else if d.begun {
 			l.say("release", string(j.id))
 		} else if !l.gone {
 			l.say("cancel", string(j.id))
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -27,22 +27,23 @@
 
 // dispatch is one sending of a job, from the module's call until its outcome is told.
 type dispatch struct {
-	job     *job
-	n       int
-	engine  *engine
-	link    *engineLink // nil while no connection is up
-	message int64       // on the link
-	sent    time.Duration
-	until   time.Duration
-	pages   [][]byte
-	missing int           // pages not here yet
-	reads   time.Duration // when they were asked for
-	begun   bool
-	stopped bool // the engine was told to stop, or the connection closed
-	fenced  bool // waits until the one before has stopped
-	work    time.Duration
-	memory  float64
-	load    logic.Load
+	job       *job
+	n         int
+	engine    *engine
+	link      *engineLink // nil while no connection is up
+	message   int64       // on the link
+	sent      time.Duration
+	until     time.Duration
+	pages     [][]byte
+	missing   int           // pages not here yet
+	reads     time.Duration // when they were asked for
+	begun     bool
+	stopped   bool // the engine was told to stop, or the connection closed
+	fenced    bool // waits until the one before has stopped
+	withdrawn bool // taken back before any byte had left
+	work      time.Duration
+	memory    float64
+	load      logic.Load
 }
 
 // noLoad is where an engine reported nothing.
@@ -64,9 +65,13 @@
 	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
 
-// giveUp ends a dispatch that the engine may be at, or one that never left.
+// giveUp ends a dispatch that the engine may be at, or one that never left. A connection that takes in nothing
+// must not send a job on after its answer, so what is still queued is taken back.
 func (c *Controller) giveUp(d *dispatch, o logic.Outcome) {
-	if d.link == nil {
+	if d.link != nil && !d.link.gone {
+		d.withdrawn = d.link.withdraw(d.message)
+	}
+	if d.link == nil || d.withdrawn {
 		o = logic.NotSent
 	}
 	c.over(d, o)
--- a/controller/link.go
+++ b/controller/link.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -17,13 +18,26 @@
 	wake chan struct{}
 
 	mu            sync.Mutex
-	pending       [][]byte
+	pending       []message
 	unsent        int      // bytes queued and not flushed
 	queued, taken int64    // messages queued, and handed to the socket
 	ending, over  bool     // ending: closes once all is flushed
 	flushed       []func() // to be done once what is pending has left
 }
 
+// message is what belongs together, in parts that may be shared.
+type message struct {
+	number int64
+	parts  [][]byte
+}
+
+func (m message) size() (size int) {
+	for _, part := range m.parts {
+		size += len(part)
+	}
+	return size
+}
+
 // writeTimeout is for one flush: a peer that takes nothing for so long would not read its answers in time.
 const writeTimeout = 5 * time.Second
 
@@ -34,18 +48,17 @@
 	return l
 }
 
-// add queues a message, in parts that may be shared, and gives its number. It does not wait.
+// add queues a message and gives its number. It does not wait.
 func (l *link) add(parts ...[]byte) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.over || l.ending {
 		return l.queued + 1
 	}
-	for _, part := range parts {
-		l.pending = append(l.pending, part)
-		l.unsent += len(part)
-	}
 	l.queued++
+	m := message{l.queued, parts}
+	l.pending = append(l.pending, m)
+	l.unsent += m.size()
 	l.signal()
 	return l.queued
 }
@@ -81,6 +94,19 @@
 	l.mu.Unlock()
 }
 
+// withdraw takes back a message that has not been handed to the socket, and tells whether it could.
+func (l *link) withdraw(number int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := slices.IndexFunc(l.pending, func(m message) bool { return m.number == number })
+	if at < 0 {
+		return false
+	}
+	l.unsent -= l.pending[at].size()
+	l.pending = slices.Delete(l.pending, at, at+1)
+	return true
+}
+
 // wrote tells whether any byte of a message may have left.
 func (l *link) wrote(message int64) bool {
 	l.mu.Lock()
@@ -125,9 +151,11 @@
 	if l.over {
 		return 0, nil, false, true
 	}
-	for _, part := range l.pending {
-		size += len(part)
-		_, _ = l.conn.Writer().WriteBinary(part)
+	for _, m := range l.pending {
+		size += m.size()
+		for _, part := range m.parts {
+			_, _ = l.conn.Writer().WriteBinary(part)
+		}
 	}
 	flushed = l.flushed
 	l.pending, l.flushed, l.taken = nil, nil, l.queued
