--- a/controller/link.go
+++ b/controller/link.go
@@ -120,14 +120,13 @@
 	return l.unsent
 }
 
-// gather is the least time from one write to the next: what comes meanwhile goes together, which spares the peer
-// a read a message when there are many. It is little against a job and nothing to a connection that was idle.
-const gather = 2 * time.Millisecond
-
+// write waits a tick of the settings from one write to the next: what comes meanwhile goes together, which spares
+// the peer a read a message when there are many. It is little against a job, and nothing on a connection that was
+// idle.
 func (l *link) write() {
 	var last time.Time
 	for range l.wake {
-		time.Sleep(gather - time.Since(last))
+		time.Sleep(l.c.cfg.Settings.Logic.Tick - time.Since(last))
 		size, flushed, ending, over := l.hand()
 		if over || size > 0 && l.conn.Writer().Flush() != nil {
 			break
