--- a/controller/clients.go
+++ b/controller/clients.go
@@ -104,15 +104,7 @@
 			return 0, errKind
 		}
 		return size, nil
-	}, func() {
-		if len(calls) > 0 {
-			c.do(func() {
-				for _, call := range calls {
-					call()
-				}
-			})
-		}
-	})
+	}, func() { c.all(calls) })
 	if err != nil {
 		c.do(func() { c.misread(k, err) })
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// all makes the calls that one read led to, under one lock.
+func (c *Controller) all(calls []func()) {
+	if len(calls) == 0 {
+		return
+	}
+	c.do(func() {
+		for _, call := range calls {
+			call()
+		}
+	})
+}
+
 // later queues what a call of the host brings about, as the module must not be called from within itself.
 func (c *Controller) later(f func()) { c.queue = append(c.queue, f) }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -36,19 +36,25 @@
 }
 
 func newStandIn(t *testing.T, address string) *standIn {
+	e := &standIn{t: t, said: make(chan command, 1000)}
+	e.ln = listen(t, address, e.listen)
+	return e
+}
+
+// listen hands each connection to serve, in a goroutine of its own.
+func listen(t *testing.T, address string, serve func(net.Conn)) net.Listener {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &standIn{t: t, ln: ln, said: make(chan command, 1000)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
 			t.Cleanup(func() { conn.Close() })
-			go e.listen(conn)
+			go serve(conn)
 		}
 	}()
-	return e
+	return ln
 }
 
 func (e *standIn) listen(conn net.Conn) {
@@ -107,18 +113,8 @@
 }
 
 func newList(t *testing.T) *list {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &list{ln: ln, wakes: make(chan struct{})}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
-			t.Cleanup(func() { conn.Close() })
-			go l.serve(conn)
-		}
-	}()
+	l := &list{wakes: make(chan struct{})}
+	l.ln = listen(t, "127.0.0.1:0", l.serve)
 	return l
 }
 
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -325,17 +325,7 @@
 		}
 		calls = append(calls, c.engineSays(l, logic.JobID(words[0]), string(words[1]), words[2], words[3]))
 		return size, nil
-	}, func() {
-		if len(calls) == 0 {
-			return
-		}
-		c.do(func() {
-			l.heard = c.now
-			for _, call := range calls {
-				call()
-			}
-		})
-	})
+	}, func() { c.all(calls) })
 	if err != nil {
 		c.do(func() {
 			c.counts[enginesMisread]++
@@ -364,9 +354,13 @@
 		}
 	})
 	if word == "PONG" || word == "SICK" {
-		return func() { c.probed(string(id), word == "PONG", load) }
+		return func() {
+			l.heard = c.now
+			c.probed(string(id), word == "PONG", load)
+		}
 	}
 	return func() {
+		l.heard = c.now
 		d := l.open[id]
 		if d == nil {
 			c.counts[strayAnswers]++
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -216,15 +216,7 @@
 			f.heard(body)
 		})
 		return size, nil
-	}, func() {
-		if len(calls) > 0 {
-			c.do(func() {
-				for _, call := range calls {
-					call()
-				}
-			})
-		}
-	})
+	}, func() { c.all(calls) })
 	if err != nil {
 		c.do(func() {
 			if f.link == l {
--- a/controller/link.go
+++ b/controller/link.go
@@ -131,13 +131,7 @@
 		if over || size > 0 && l.conn.Writer().Flush() != nil {
 			break
 		}
-		if len(flushed) > 0 {
-			l.c.do(func() {
-				for _, f := range flushed {
-					f()
-				}
-			})
-		}
+		l.c.all(flushed)
 		last = time.Now()
 		l.mu.Lock()
 		l.unsent -= size
