--- a/controller/feed.go
+++ b/controller/feed.go
@@ -171,7 +171,9 @@
 func (f *feed) failed(err error) {
 	c := f.c
 	c.counts[feedFailures]++
-	c.note(slog.LevelWarn, "feed", "why", err)
+	if f.pause == 0 { // once, not at each try
+		c.note(slog.LevelWarn, "feed lost", "why", err)
+	}
 	f.waits = false
 	if f.link != nil {
 		c.closeSoon(f.link.conn)
@@ -229,7 +231,7 @@
 
 // heard takes an answer and asks on.
 func (f *feed) heard(body []byte) {
-	before := f.last
+	c, before := f.c, f.last
 	err := f.tell(body, func(whole bool) logic.ListKind {
 		if whole {
 			return logic.ListWhole
@@ -242,6 +244,9 @@
 	case f.last < before: // numbers that can't be right: not at once again
 		f.failed(errors.New("events are missing"))
 	case f.following:
+		if f.pause > 0 {
+			c.note(slog.LevelInfo, "feed answers again")
+		}
 		f.pause = 0
 		f.ask()
 	}
