--- a/controller/clients.go
+++ b/controller/clients.go
@@ -26,7 +26,7 @@
 
 type clientKey struct{}
 
-// clientShare: clients keep to a third of the descriptors by themselves; past half, ours would be in danger.
+// mostClients is half the descriptors: clients keep to a third by themselves, and past half ours would be short.
 func (c *Controller) mostClients() int { return c.cfg.Sockets / 2 }
 
 // accept makes the object of a new connection; netpoll calls it before any data is read.
