SIGHUP takes a new configuration and follows the feed at its new address

Feed.dial and ask took the address from the configuration of the start. Now the controller's Reload reads, checks and follows the new feed from the last number held; a dial under way and the old connection are given up and heard no more.

--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -13,6 +13,9 @@
 )
 
 func main() {
+	// First of all, as a signal that nothing waits for would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := config.FromEnvironment()
 	if err != nil {
@@ -29,6 +32,11 @@
 			c.LogCounters()
 		}
 	}()
+	go func() {
+		for range reload {
+			_ = c.Reload(config.FromEnvironment) // which logs and counts what is wrong
+		}
+	}()
 	if err := c.Run(ctx); err != nil {
 		log.Error("ended", "why", err)
 		os.Exit(1)
--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -87,6 +89,22 @@
 		check(s.OpenCap >= 0, "settings.permissions.open_cap", s.OpenCap, "0 (no limit) or above"))
 }
 
+// Differs names the keys whose values differ in another configuration and that a running controller can't take
+// over. The feed it can; the seed and what is known are of a start.
+func (c Config) Differs(next Config) (keys []string) {
+	for key, differs := range map[string]bool{
+		"name": c.Name != next.Name, "listen": c.Listen != next.Listen, "limits.cores": c.Cores != next.Cores,
+		"limits.memory_mb": c.MemoryMB != next.MemoryMB, "limits.sockets": c.Sockets != next.Sockets,
+		"settings": !reflect.DeepEqual(c.Settings, next.Settings),
+	} {
+		if differs {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func override(value *string, with string) {
 	if with != "" {
 		*value = with
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// TestDiffers: what only a restart can change is named.
+func TestDiffers(t *testing.T) {
+	c, _ := Read([]byte(good), "", "")
+	next, _ := Read([]byte(strings.NewReplacer("7070", "7071", `"cores":1.5`, `"cores":1`, "1000", "2000").Replace(good)), "", "")
+	if got := strings.Join(c.Differs(next), " "); got != "limits.cores settings" || len(c.Differs(c)) > 0 {
+		t.Error(got)
+	}
+}
+
 func TestFromEnvironment(t *testing.T) {
 	t.Setenv("BALANCER_CONFIG", "")
 	if _, err := FromEnvironment(); err == nil || !strings.HasPrefix(err.Error(), "BALANCER_CONFIG:") {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -62,6 +62,7 @@
 	counts   [counters]int64
 	bytes    int64 // of statements, pages and unsent output
 	panics   []time.Duration
+	logged   time.Duration // when the counters last were
 	listener netpoll.EventLoop
 }
 
@@ -71,7 +72,7 @@
 		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[*client]bool{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*dispatch{}}
-	c.feed = &feed{c: c}
+	c.feed = &feed{c: c, address: cfg.Feed}
 	return c
 }
 
@@ -112,6 +113,23 @@
 	return err
 }
 
+// Reload takes a new configuration while serving. A faulty one changes nothing. The feed's address is followed at
+// once; the keys that only a restart can change are named in the log.
+func (c *Controller) Reload(read func() (config.Config, error)) error {
+	next, err := read()
+	c.do(func() {
+		if err != nil {
+			c.counts[reloadsFailed]++
+			c.note(slog.LevelError, "configuration not taken", "why", err)
+			return
+		}
+		c.counts[reloads]++
+		c.note(slog.LevelInfo, "configuration taken", "feed", next.Feed, "after_restart", c.cfg.Differs(next))
+		c.feed.move(next.Feed)
+	})
+	return err
+}
+
 // limit keeps the process inside its machine. The collector waits until what is held has grown fourfold, a few
 // tens of MB here, and starts to press at two thirds of the memory, which leaves room for what it does not count.
 func limit(cfg config.Config) {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -470,6 +470,39 @@
 	b.knows("e9")
 }
 
+// TestReload: a new address of the feed is followed from the last number held, and the old one tells nothing more; a
+// faulty configuration changes nothing.
+func TestReload(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	b.client()
+	other := newList(t)
+	other.events = append(other.events, b.list.events...)
+	taken := func(feed string) func() (config.Config, error) {
+		return func() (config.Config, error) {
+			next := b.c.cfg
+			next.Feed = feed
+			return next, nil
+		}
+	}
+	for _, l := range []*list{other, b.list, other} {
+		if err := b.c.Reload(taken(l.ln.Addr().String())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.list.tell(false, [3]string{"late", "127.0.0.1:1", "active"})
+	if err := b.c.Reload(func() (config.Config, error) { return config.Config{}, io.EOF }); err != io.EOF {
+		t.Error(err)
+	}
+	other.tell(false, [3]string{"e9", "127.0.0.1:2", "active"})
+	b.knows("e9")
+	b.c.do(func() {
+		if b.c.engines["late"] != nil || b.c.counts[reloads] != 3 || b.c.counts[reloadsFailed] != 1 {
+			t.Error(b.c.engines, b.c.counts[reloads])
+		}
+	})
+}
+
 func TestStopsWithJobsOpen(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -51,6 +51,8 @@
 	feedEvents
 	feedGaps
 	feedFailures
+	reloads
+	reloadsFailed
 	peerUnsaid
 	panicked
 	counters
@@ -62,19 +64,22 @@
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "pages_read", "faulty_answers", "stray_answers",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
-	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "peer_unsaid", "panics"}
+	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "reloads", "reloads_failed", "peer_unsaid", "panics"}
 
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
 
 // LogCounters logs all counters, and what is open now.
-func (c *Controller) LogCounters() {
-	c.do(func() {
-		values := make([]any, 0, 2*counters+10)
-		for n, name := range counterNames {
+func (c *Controller) LogCounters() { c.do(c.logCounters) }
+
+func (c *Controller) logCounters() {
+	c.logged = c.now
+	values := make([]any, 0, 2*counters+12)
+	for n, name := range counterNames {
+		if c.counts[n] > 0 {
 			values = append(values, name, c.counts[n])
 		}
-		values = append(values, "open_jobs", len(c.jobs), "open_clients", len(c.clients), "open_links", c.links,
-			"held_bytes", c.bytes, "engines", len(c.engines))
-		c.note(slog.LevelInfo, "counters", values...)
-	})
+	}
+	values = append(values, "open_jobs", len(c.jobs), "open_clients", len(c.clients), "open_links", c.links,
+		"held_bytes", c.bytes, "engines", len(c.engines), "alarms", len(c.timers))
+	c.note(slog.LevelInfo, "counters", values...)
 }
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -21,13 +21,15 @@
 // go on with the list that is held while it is away.
 type feed struct {
 	c         *Controller
+	address   string
 	link      *link
 	last      int64 // number of the newest event held
 	call      int64 // of the call that is out, to tell old time-outs apart
 	waits     bool  // a call is out
 	following bool
-	dialing   bool
-	pause     time.Duration // after the last failure
+	stopDial  context.CancelFunc // of the dial under way, if any
+	dial      int64              // its number, to tell given up dials apart
+	pause     time.Duration      // after the last failure
 }
 
 // longestWait is for the feed to hold a call, at most 5 s by its protocol; a call without an answer by slack later
@@ -97,7 +99,7 @@
 func (f *feed) ask() {
 	c := f.c
 	if f.link == nil {
-		f.dial()
+		f.connect()
 		return
 	}
 	f.waits = true
@@ -105,7 +107,7 @@
 	call := f.call
 	target := "/v1/events?SUB=" + strconv.FormatInt(f.last, 10) + "&wait=" +
 		strconv.FormatInt(int64(longestWait/time.Millisecond), 10)
-	f.link.add(http1.AppendGet(nil, c.cfg.Feed, target))
+	f.link.add(http1.AppendGet(nil, f.address, target))
 	c.counts[feedCalls]++
 	c.at(c.now+longestWait+callSlack, func() {
 		if f.waits && f.call == call {
@@ -114,21 +116,26 @@
 	})
 }
 
-func (f *feed) dial() {
+// connect dials unless a dial is under way. One that was given up meanwhile leads to nothing.
+func (f *feed) connect() {
 	c := f.c
-	address, err := netip.ParseAddrPort(c.cfg.Feed)
-	if err != nil || f.dialing {
+	address, err := netip.ParseAddrPort(f.address)
+	if err != nil || f.stopDial != nil {
 		return
 	}
-	f.dialing = true
+	ctx, stop := context.WithTimeout(context.Background(), max(c.cfg.Settings.ConnectTimeout, time.Second))
+	f.dial++
+	f.stopDial = stop
+	number := f.dial
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), max(c.cfg.Settings.ConnectTimeout, time.Second))
-		defer cancel()
 		conn, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *net.TCPAddrFromAddrPort(address)})
+		stop()
 		if err != nil {
 			c.do(func() {
-				f.dialing = false
-				f.failed(err)
+				if f.dial == number {
+					f.stopDial = nil
+					f.failed(err)
+				}
 			})
 			return
 		}
@@ -138,7 +145,11 @@
 			return nil
 		})
 		c.do(func() {
-			f.dialing = false
+			if f.dial != number {
+				c.closeSoon(conn)
+				return
+			}
+			f.stopDial = nil
 			f.link = l
 			if f.following {
 				f.ask()
@@ -151,6 +162,28 @@
 	}()
 }
 
+// move follows the feed at another address from the last number held. What the old one would still say, on its
+// connection or on a dial under way, is not heard any more.
+func (f *feed) move(address string) {
+	if address == f.address {
+		return
+	}
+	f.address, f.waits, f.pause = address, false, 0
+	f.call++
+	f.dial++
+	if f.stopDial != nil {
+		f.stopDial()
+		f.stopDial = nil
+	}
+	if f.link != nil {
+		f.c.closeSoon(f.link.conn)
+		f.link = nil
+	}
+	if f.following {
+		f.ask()
+	}
+}
+
 func (f *feed) closed(l *link) {
 	l.closed()
 	if f.link != l {
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -57,8 +57,14 @@
 // sweepEvery is fine enough for idle times of seconds.
 const sweepEvery = 500 * time.Millisecond
 
+// countersEvery lets a log tell when something began; a line each time is little.
+const countersEvery = 10 * time.Second
+
 func (c *Controller) sweep() {
 	c.sweepClients()
 	c.sweepEngines()
+	if c.now >= c.logged+countersEvery {
+		c.logCounters()
+	}
 	c.at(c.now+sweepEvery, c.sweep)
 }
