Clients and engines are taken at nothing but their word; a spoilt connection ends at once

Seen in the counters of the untouched program: 511 to 852 newcomers a controller refused at the limit of connections while clients that had asked once kept theirs (accept, clients.go); each engine had one or two connections, so that 3 answers that could not be read took 46 jobs along as lost (send, engines.go), and the module then left the engine out; 9 good jobs failed on second copies of a page (page); half answers were waited for until the time-out. Now: the connection quiet for longest makes room; silence and half frames end after 2 s; fields are checked against the protocol's table, streams count up, 32 are open at most; jobs on a misread connection are answered first. Each dispatch has a connection to itself while descriptors last. What can't be trusted ends its connection, and what was open on it has failed at once; a part that does not go on is noticed after 0.4 s; second copies do no harm; reported figures are checked.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
 	"strconv"
+	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cloudwego/netpoll"
 
@@ -19,9 +20,12 @@
 type client struct {
 	*link
 	jobs   map[uint32]*job // open, by stream
-	idle   time.Duration   // since when none is open
+	last   uint32          // highest stream so far
+	active time.Duration   // when it came, and when a frame last came or an answer went
+	spoke  bool            // a whole frame has come
+	front  bool            // asked whether the controller is ready
 	gone   bool
-	faulty bool // read no further
+	faulty atomic.Bool // read no further
 }
 
 type clientKey struct{}
@@ -33,12 +37,12 @@
 func (c *Controller) accept(conn netpoll.Connection) context.Context {
 	k := &client{jobs: map[uint32]*job{}}
 	c.do(func() {
-		if len(c.clients) >= c.mostClients() {
+		if len(c.clients) >= c.mostClients() && !c.makeRoom() || c.phase == Leaving {
 			c.counts[clientsRefused]++
 			return
 		}
 		c.counts[clientsAccepted]++
-		k.link, k.idle = newLink(c, conn), c.now
+		k.link, k.active = newLink(c, conn), c.now
 		c.clients[k] = true
 		if c.phase == Draining {
 			k.sendEmpty(frame.NoMore, 0)
@@ -55,6 +59,30 @@
 	return context.WithValue(context.Background(), clientKey{}, k)
 }
 
+// makeRoom guards newcomers against clients that keep their connections for good, or connect and say nothing: the
+// one without an open job that has been quiet for longest goes.
+func (c *Controller) makeRoom() bool {
+	var quiet *client
+	for k := range c.clients {
+		if len(k.jobs) == 0 && (quiet == nil || k.active < quiet.active) {
+			quiet = k
+		}
+	}
+	if quiet == nil {
+		return false
+	}
+	c.counts[clientsEvicted]++
+	c.drop(quiet)
+	return true
+}
+
+// drop closes a connection at once.
+func (c *Controller) drop(k *client) {
+	k.gone = true
+	delete(c.clients, k)
+	c.closeSoon(k.conn)
+}
+
 func (c *Controller) clientClosed(k *client) {
 	k.link.closed()
 	k.gone = true
@@ -72,7 +100,7 @@
 		return conn.Close()
 	}
 	c := k.c
-	if k.faulty { // closes as soon as it has been told
+	if k.faulty.Load() { // closes as soon as it has been told
 		_ = conn.Reader().Skip(conn.Reader().Len())
 		return conn.Reader().Release()
 	}
@@ -87,13 +115,15 @@
 			calls = append(calls, c.jobComes(k, stream, payload))
 		case frame.Gone:
 			calls = append(calls, func() {
+				k.heard()
 				if j := k.jobs[stream]; j != nil {
-					k.idle = c.now
 					c.clientGone(j)
 				}
 			})
 		case frame.Ready:
 			calls = append(calls, func() {
+				k.heard()
+				k.front = true
 				code := byte(1)
 				if c.phase != Ready {
 					code = 2
@@ -105,6 +135,9 @@
 		}
 		return size, nil
 	}, func() { c.all(calls) })
+	if err == nil && len(k.rest) > maxRest && c.held.Load() > c.cfg.MemoryMB<<20/16 {
+		err = errMemory
+	}
 	if err != nil {
 		c.do(func() { c.misread(k, err) })
 	}
@@ -114,72 +147,135 @@
 var (
 	errKind   = errors.New("unknown type of frame")
 	errStream = errors.New("stream in use")
+	errHalf   = errors.New("half a frame")
+	errMemory = errors.New("too much is being sent at once")
 )
 
-// misread tells a client that its bytes make no sense, and ends the connection, as what follows can't be read.
+// misread tells a client that its bytes make no sense, and ends the connection, as what follows can't be read. What
+// was taken on it is answered first.
 func (c *Controller) misread(k *client, err error) {
+	if k.gone || k.faulty.Load() {
+		return
+	}
 	c.counts[clientsMisread]++
-	c.note(slog.LevelWarn, "client misread", "why", err)
-	k.faulty = true
+	c.note(slog.LevelDebug, "client misread", "why", err)
+	for _, stream := range sorted(k.jobs) {
+		if j := k.jobs[stream]; j != nil {
+			c.cut(j)
+		}
+	}
+	k.faulty.Store(true)
 	k.send(frame.Answer, 0, frame.CancelledFor, "error", err.Error())
 	k.end()
 }
 
-// jobComes reads a job in place and gives the call that takes it.
-func (c *Controller) jobComes(k *client, stream uint32, payload []byte) func() {
-	var name, id, once, wait, cost, memory []byte
-	body, err := frame.Fields(payload, func(field, value []byte) {
+// cut cancels a job for good whatever it is at.
+func (c *Controller) cut(j *job) {
+	c.cancelForGood(j)
+	c.logic.ClientGone(c.now, j.id)
+	c.later(func() {
+		if j.out == nil {
+			c.forget(j)
+		}
+	})
+}
+
+// heard keeps a connection from being idle.
+func (k *client) heard() { k.active, k.spoke = k.c.now, true }
+
+// fields of a job, as they came.
+type fields struct{ name, id, wait, once, cost, memory []byte }
+
+// read takes the fields that are known, each once; others are for later versions of the protocol.
+func (f *fields) read(payload []byte) (body []byte, err error) {
+	again := false
+	body, err = frame.Fields(payload, func(field, value []byte) {
+		var at *[]byte
 		switch string(field) {
 		case "class":
-			name = value
+			at = &f.name
 		case "id":
-			id = value
+			at = &f.id
 		case "wait":
-			wait = value
+			at = &f.wait
 		case "once":
-			once = value
+			at = &f.once
 		case "cost":
-			cost = value
+			at = &f.cost
 		case "memory":
-			memory = value
+			at = &f.memory
+		default:
+			return
 		}
+		again = again || *at != nil
+		*at = value
 	})
-	waitMS, waitErr := strconv.ParseUint(string(wait), 10, 32)
-	costMS, costOK := number(cost)
-	needMB, memoryOK := number(memory)
+	if err == nil && again {
+		err = errors.New("a field is there twice")
+	}
+	return body, err
+}
+
+// Estimates and waits of more than a day are no figures of a job.
+const mostFigure = 86_400_000
+
+// check tells what is wrong with a job, if anything: an engine closes a connection, under all its jobs, on what it
+// can't read.
+func (f *fields) check(t *logic.Type, body []byte) error {
+	wait, err := strconv.ParseUint(string(f.wait), 10, 32)
+	_, costOK := number(f.cost, mostFigure)
+	_, memoryOK := number(f.memory, mostFigure)
 	switch {
-	case err != nil:
-	case !c.knows(logic.TypeName(name)):
-		err = errors.New("class: not known")
-	case !isID(id):
-		err = errors.New("id: 16 hex digits are wanted")
-	case waitErr != nil:
-		err = errors.New("wait: milliseconds are wanted")
-	case !isWord(once):
-		err = errors.New("once: letters and digits are wanted")
-	case !costOK:
-		err = errors.New("cost: a number is wanted")
-	case !memoryOK:
-		err = errors.New("memory: a number is wanted")
+	case t == nil:
+		return errors.New("class: not known")
+	case !isID(f.id):
+		return errors.New("id: 16 hex digits are wanted")
+	case err != nil || wait == 0 || wait > mostFigure:
+		return errors.New("wait: milliseconds are wanted")
+	case len(f.once) == 0 && t.Repeat == logic.Keyed:
+		return errors.New("once: a key is wanted")
+	case !isWord(f.once):
+		return errors.New("once: letters and digits are wanted")
+	case f.cost != nil && (!costOK || len(f.cost) == 0):
+		return errors.New("cost: a number is wanted")
+	case f.memory != nil && (!memoryOK || len(f.memory) == 0):
+		return errors.New("memory: a number is wanted")
+	case !utf8.Valid(body):
+		return errors.New("statement: no text")
+	}
+	return nil
+}
+
+// jobComes reads a job in place and gives the call that takes it.
+func (c *Controller) jobComes(k *client, stream uint32, payload []byte) func() {
+	var f fields
+	body, err := f.read(payload)
+	if err == nil {
+		err = f.check(c.typeOf(f.name), body)
 	}
 	if err != nil {
 		return func() {
+			k.heard()
 			c.counts[jobsMisread]++
-			if !k.usable(stream) {
+			if !k.opens(stream) {
 				c.misread(k, errStream)
 				return
 			}
 			k.send(frame.Answer, stream, frame.CancelledFor, "error", err.Error())
 		}
 	}
-	j := &job{id: logic.JobID(id), client: k, stream: stream, name: logic.TypeName(name), once: string(once),
+	waitMS, _ := strconv.ParseUint(string(f.wait), 10, 32)
+	costMS, _ := number(f.cost, mostFigure)
+	needMB, _ := number(f.memory, mostFigure)
+	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.TypeName(f.name), once: string(f.once),
 		statement: append([]byte(nil), body...), priority: 1}
 	tables := statement.Group(string(j.statement))
 	return func() {
+		k.heard()
 		switch {
-		case k.gone || k.faulty:
+		case k.gone || k.faulty.Load():
 			return
-		case !k.usable(stream):
+		case !k.opens(stream):
 			c.misread(k, errStream)
 			return
 		case c.jobs[j.id] != nil:
@@ -191,7 +287,7 @@
 		k.jobs[stream] = j
 		// Guards the machine: it must not die of what it holds. The job never ran, so a retry does no harm.
 		if most := c.cfg.Settings.OpenCap; c.full(len(j.statement)) || most > 0 && len(c.jobs) >= most ||
-			len(k.jobs) > streamsPerClient {
+			len(k.jobs) > streamsPerClient || c.phase == Leaving {
 			c.counts[jobsOverLimit]++
 			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
 			return
@@ -208,30 +304,47 @@
 // for both ways and for a busy machine. Job timeouts are hundreds of times as long.
 const onTheWay = 25 * time.Millisecond
 
-// streamsPerClient is the protocol's, with as much again for jobs that end while others come.
-const streamsPerClient = 64
+// streamsPerClient is the protocol's.
+const streamsPerClient = 32
 
-// full tells that a quarter of the memory is held by statements and pages; buffers and garbage need the rest.
-func (c *Controller) full(more int) bool { return c.bytes+int64(more) > c.cfg.MemoryMB<<20/4 }
+// full tells that a quarter of the memory is held by statements, pages and what connections keep; garbage and the
+// runtime need the rest.
+func (c *Controller) full(more int) bool {
+	return c.bytes+c.held.Load()+int64(more) > c.cfg.MemoryMB<<20/4
+}
 
-func (k *client) usable(stream uint32) bool { return stream > 0 && k.jobs[stream] == nil }
+// opens tells whether a stream is new on its connection: they count up.
+func (k *client) opens(stream uint32) bool {
+	if stream <= k.last {
+		return false
+	}
+	k.last = stream
+	return true
+}
 
-func (c *Controller) knows(name logic.TypeName) bool {
-	for _, t := range c.cfg.Settings.Logic.Types {
-		if t.Name == name {
-			return true
+// typeOf is the settings' row of a reservation type, if there is one.
+func (c *Controller) typeOf(name []byte) *logic.Type {
+	types := c.cfg.Settings.Logic.Types
+	for n := range types {
+		if string(types[n].Name) == string(name) {
+			return &types[n]
 		}
 	}
-	return false
+	return nil
 }
 
-// number reads an estimate; none is 0.
-func number(text []byte) (float64, bool) {
+// number reads a figure without a sign or an exponent, up to a most; none is 0.
+func number(text []byte, most float64) (float64, bool) {
 	if len(text) == 0 {
 		return 0, true
 	}
+	for _, ch := range text {
+		if (ch < '0' || ch > '9') && ch != '.' {
+			return 0, false
+		}
+	}
 	n, err := strconv.ParseFloat(string(text), 64)
-	return n, err == nil && n >= 0 && n <= math.MaxInt32
+	return n, err == nil && n <= most
 }
 
 func isID(id []byte) bool {
@@ -274,28 +387,36 @@
 func (k *client) sendEmpty(kind byte, stream uint32) { k.out(frame.AppendHead(nil, kind, stream, 0)) }
 
 // out guards against a client that sends jobs and does not read: past a bound its connection is closed. 32 of
-// the largest results are 1.5 MB.
+// the largest results are 1.5 MB; the bound is 2 MB on the smallest machines.
 func (k *client) out(head []byte, body ...[]byte) {
 	if k.gone {
 		return
 	}
+	c := k.c
 	k.add(append([][]byte{head}, body...)...)
-	if k.backlog() > 4<<20 {
-		k.gone = true
-		k.c.counts[clientsTooSlow]++
-		k.c.closeSoon(k.conn)
+	if int64(k.backlog()) > c.cfg.MemoryMB<<20/16 {
+		c.counts[clientsTooSlow]++
+		c.drop(k)
 	}
 }
 
 // closeSoon closes a connection without the lock, as the callbacks that follow take it.
 func (c *Controller) closeSoon(conn netpoll.Connection) { go conn.Close() }
 
-// clientIdle is far above the seconds after which clients close by themselves.
-const clientIdle = time.Minute
+// silentClient guards against connections that say nothing, or begin a frame and do not end it; a client that has
+// something to ask sends it in a trip or two. idleClient is above the 4 s after which clients close by themselves,
+// and frontIdle for the connections on which the front asks.
+const silentClient, idleClient, frontIdle = 2 * time.Second, 6 * time.Second, time.Minute
 
 func (c *Controller) sweepClients() {
 	for k := range c.clients {
-		if len(k.jobs) == 0 && !k.gone && c.now-k.idle > clientIdle {
+		quiet := c.now - k.active
+		switch {
+		case k.gone || k.faulty.Load():
+		case k.halfSince(c.now) > silentClient:
+			c.misread(k, errHalf)
+		case len(k.jobs) > 0:
+		case !k.spoke && quiet > silentClient, !k.front && quiet > idleClient, quiet > frontIdle:
 			c.counts[clientsIdle]++
 			k.end()
 		}
@@ -323,12 +444,14 @@
 
 // leave ends the process once nothing is owed, or answers what is left when the time is over.
 func (c *Controller) leave(last time.Duration) {
+	if c.phase == Draining {
+		c.enter(Leaving)
+	}
 	if c.now >= last {
 		for _, id := range sorted(c.jobs) {
 			if j := c.jobs[id]; j != nil && j.client != nil {
 				c.counts[cutByExit]++
-				c.cancelForGood(j)
-				c.logic.ClientGone(c.now, j.id)
+				c.cut(j)
 			}
 		}
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -30,11 +31,14 @@
 const (
 	Starting Phase = iota
 	Ready
-	Draining // told to stop: still takes jobs for a while, answers all, and goes
+	Draining // told to stop: still takes jobs for a while
+	Leaving  // takes none, and goes once all are answered
 	Stopped
 )
 
-func (p Phase) String() string { return [...]string{"starting", "ready", "draining", "stopped"}[p] }
+func (p Phase) String() string {
+	return [...]string{"starting", "ready", "draining", "leaving", "stopped"}[p]
+}
 
 // Controller is one running controller.
 type Controller struct {
@@ -60,7 +64,8 @@
 	queue    []func()
 	lines    []slog.Record
 	counts   [counters]int64
-	bytes    int64 // of statements, pages and unsent output
+	bytes    int64        // of statements and pages
+	held     atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
 	panics   []time.Duration
 	logged   time.Duration // when the counters last were
 	listener netpoll.EventLoop
@@ -155,7 +160,7 @@
 // do runs f, and all that f brings about at once, under the lock. It is the only way to the module.
 func (c *Controller) do(f func()) {
 	c.mu.Lock()
-	c.now = time.Duration(c.born.UnixNano()) + time.Since(c.born)
+	c.now = c.clock()
 	c.guarded(f)
 	for len(c.queue) > 0 {
 		next := c.queue[0]
@@ -171,6 +176,11 @@
 	}
 }
 
+// clock is Unix time at the start and what the monotonic clock added since.
+func (c *Controller) clock() time.Duration {
+	return time.Duration(c.born.UnixNano()) + time.Since(c.born)
+}
+
 // all makes the calls that one read led to, under one lock.
 func (c *Controller) all(calls []func()) {
 	if len(calls) == 0 {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -18,11 +18,14 @@
 	"yarrowbarrow/config"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/resp"
+	"yarrowbarrow/logic"
 )
 
 // patience bounds every wait of these tests; none of them sleeps.
 const patience = 10 * time.Second
 
+const rowA, rowB = "a\tb\tc\n", "d\te\tf\n"
+
 // standIn is an engine: what it is told comes out of said, and answers go where they were asked for.
 type standIn struct {
 	t    *testing.T
@@ -196,7 +199,7 @@
 	}
 	b.address = free.Addr().String()
 	free.Close()
-	cfg, err := config.Read(fmt.Appendf(nil, `{"name":"n","listen":%q,"seed":"1","feed":%q,"known":%s,"settings":{
+	cfg, err := config.Read(fmt.Appendf(nil, `{"name":"n","listen":%q,"seed":"1","limits":{"sockets":64},"feed":%q,"known":%s,"settings":{
 		"classes":[{"name":"quick","aim":500000000,"deadline":3000000000,"gain":1,"late_worth":0.5,"repeat":"retryable"},
 		{"name":"load","aim":500000000,"deadline":3000000000,"gain":1,"late_worth":0.5,"repeat":"dedup","group":"all",
 		"key_ttl":12000000000}],"machine_types":["std"],"zone":"east","tick":5000000,
@@ -276,8 +279,8 @@
 	k.asks(stream, "select 1", "class", "quick", "id", fmt.Sprintf("%016x", stream), "wait", wait)
 }
 
-// gets reads the next frame and gives its fields.
-func (k conn) gets(kind byte, stream uint32, code byte, body string) map[string]string {
+// next reads a frame.
+func (k conn) next() (kind byte, stream uint32, code byte, fields map[string]string, body string) {
 	k.t.Helper()
 	head := make([]byte, frame.HeadSize)
 	if _, err := io.ReadFull(k, head); err != nil {
@@ -287,16 +290,22 @@
 	if _, err := io.ReadFull(k, payload); err != nil {
 		k.t.Fatal(err)
 	}
-	fields := map[string]string{}
-	var rest []byte
+	fields = map[string]string{}
 	if len(payload) > 0 {
-		rest, _ = frame.Fields(payload[1:], func(name, value []byte) { fields[string(name)] = string(value) })
-		if payload[0] != code {
-			k.t.Fatalf("code %d, wanted %d (%v)", payload[0], code, fields)
-		}
+		code = payload[0]
+		rest, _ := frame.Fields(payload[1:], func(name, value []byte) { fields[string(name)] = string(value) })
+		body = string(rest)
 	}
-	if head[4] != kind || head[8] != byte(stream) || string(rest) != body {
-		k.t.Fatalf("type %d, stream %d, body %q; wanted %d, %d, %q", head[4], head[8], rest, kind, byte(stream), body)
+	return head[4], uint32(head[7])<<8 + uint32(head[8]), code, fields, body
+}
+
+// gets wants a certain frame next and gives its fields.
+func (k conn) gets(kind byte, stream uint32, code byte, body string) map[string]string {
+	k.t.Helper()
+	gotKind, gotStream, gotCode, fields, gotBody := k.next()
+	if gotKind != kind || gotStream != stream || gotCode != code || gotBody != body {
+		k.t.Fatalf("type %d, stream %d, code %d, body %q, %v; wanted %d, %d, %d, %q", gotKind, gotStream, gotCode,
+			gotBody, fields, kind, stream, code, body)
 	}
 	return fields
 }
@@ -329,17 +338,75 @@
 	}
 }
 
-// TestFaultyPages: a page that is there already, or not whole, is an error of the dispatch; another one is tried.
-func TestFaultyPages(t *testing.T) {
-	for _, page := range []string{"x\n", "no end of row"} {
+// TestSpoiltAnswer: what can't be trusted ends its connection and fails the job there at once, and no other; a
+// good answer elsewhere serves it.
+func TestSpoiltAnswer(t *testing.T) {
+	for _, answers := range [][]string{
+		{"HIT", "count=2", rowA, "PART", "pos=1", "no end of row"},
+		{"HIT", "count=2", rowA, "PART", "pos=0", rowB}, // there already, and not the same
+		{"HIT", "count=2", rowA, "PART", "pos=2", rowB},
+		{"HIT", "count=2", rowA, "PART", "pos=1", ""},
+		{"HIT", "count=1", "two\tcolumns\n"},
+		{"HIT", "count=1", "a\tb\xff\tc\n"},
+		{"HIT", "count=1", "a\tb\x00\tc\n"},
+		{"HIT", "count=-1", rowA},
+		{"HIT", "count=3000000000", rowA},
+		{"HIT", "count=1,ticks=NaN", rowA},
+		{"HIT", "count=1,footprint=-3", rowA},
+		{"HIT", "count=1,stats=util:inf", rowA},
+		{"HAT", "count=1", rowA},
+	} {
 		e := newStandIn(t, "127.0.0.1:0")
 		k := start(t, "", e).client()
-		k.quick(1, "2500")
+		k.quick(1, "2900")
+		other := e.hears("serve")
+		k.quick(2, "2900")
 		c := e.hears("serve")
-		c.answer("HIT", "count=2", "a\n")
-		c.answer("PART", "pos="+strconv.Itoa(len(page)%2), page)
-		e.hears("serve").answer("HIT", "count=1", "b\n")
-		k.gets(frame.Answer, 1, frame.Done, "b\n")
+		for n := 0; n < len(answers); n += 3 {
+			c.answer(answers[n : n+3]...)
+		}
+		e.hears("serve").answer("HIT", "count=1", rowB)
+		k.gets(frame.Answer, 2, frame.Done, rowB)
+		other.answer("HIT", "count=1", rowA)
+		k.gets(frame.Answer, 1, frame.Done, rowA)
+	}
+}
+
+// TestMoreThanAsked: second copies and answers under ids of nobody do no harm.
+func TestMoreThanAsked(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", e).client()
+	k.quick(1, "2900")
+	c := e.hears("serve")
+	stray := c
+	stray.words = []string{"serve", "00000000000000ff"}
+	stray.answer("HIT", "count=1", rowB)
+	c.answer("HIT", "count=2", rowA)
+	c.answer("HIT", "count=2", rowA)
+	c.answer("PART", "pos=0", rowA)
+	c.answer("PART", "pos=1", rowB)
+	c.answer("PART", "pos=1", rowB)
+	k.gets(frame.Answer, 1, frame.Done, rowA+rowB)
+}
+
+// TestAnswerStops: an answer that breaks off on an open connection is not waited for until the job's time is up.
+func TestAnswerStops(t *testing.T) {
+	for _, begins := range []string{"*4\r\n$16\r\n00000000000", ""} {
+		e := newStandIn(t, "127.0.0.1:0")
+		b := start(t, "", e)
+		k := b.client()
+		k.quick(1, "2900")
+		if c := e.hears("serve"); begins != "" {
+			_, _ = c.conn.Write([]byte(begins))
+		} else {
+			c.answer("HIT", "count=2", rowA)
+		}
+		began := time.Now()
+		e.hears("serve").answer("HIT", "count=1", rowB)
+		k.gets(frame.Answer, 1, frame.Done, rowB)
+		if took := time.Since(began); took > 1500*time.Millisecond {
+			t.Error("noticed after", took)
+		}
 	}
 }
 
@@ -367,11 +434,11 @@
 		other = b
 	case c = <-b.said:
 	}
-	c.answer("HIT", "count=2", "a\n")
+	c.answer("HIT", "count=2", rowA)
 	_ = c.conn.(*net.TCPConn).SetLinger(0)
 	c.conn.Close()
-	other.hears("serve").answer("HIT", "count=1", "b\n")
-	k.gets(frame.Answer, 1, frame.Done, "b\n")
+	other.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 1, frame.Done, rowB)
 }
 
 func TestSilentEngine(t *testing.T) {
@@ -401,8 +468,8 @@
 	default:
 	}
 	fence.answer("PONG", "-", "")
-	e.hears("serve").answer("HIT", "count=1", "a\n")
-	k.gets(frame.Answer, 1, frame.Done, "a\n")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
 }
 
 func TestClientGone(t *testing.T) {
@@ -415,8 +482,8 @@
 		t.Error(c.words)
 	}
 	k.quick(2, "2000") // the next answer is the next job's
-	e.hears("serve").answer("HIT", "count=1", "b\n")
-	k.gets(frame.Answer, 2, frame.Done, "b\n")
+	e.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
 	k.Close()
 }
 
@@ -431,8 +498,8 @@
 	c := e.hears("serve")
 	if c.conn == old.conn && c.words[1] == "0000000000000002" {
 		// Told before the change arrived; the next job is sent after it.
-		c.answer("HIT", "count=1", "a\n")
-		k.gets(frame.Answer, 2, frame.Done, "a\n")
+		c.answer("HIT", "count=1", rowA)
+		k.gets(frame.Answer, 2, frame.Done, rowA)
 		b.knows("e9")
 		k.quick(3, "2900")
 		c = e.hears("serve")
@@ -442,20 +509,23 @@
 	}
 }
 
-// knows waits until an engine is listed; the condition is looked at under the lock, as events are told there.
-func (b *bed) knows(id string) {
+// until waits for a condition, which is looked at under the lock.
+func (b *bed) until(holds func() bool) {
+	b.t.Helper()
 	for late := time.Now().Add(patience); time.Now().Before(late); {
-		known := false
-		b.c.do(func() {
-			for e := range b.c.engines {
-				known = known || string(e) == id
-			}
-		})
-		if known {
+		held := false
+		b.c.do(func() { held = holds() })
+		if held {
 			return
 		}
 	}
-	b.t.Fatal("not listed: ", id)
+	b.t.Fatal("waited in vain")
+}
+
+// knows waits until an engine is listed.
+func (b *bed) knows(id logic.EngineID) {
+	b.t.Helper()
+	b.until(func() bool { return b.c.engines[id] != nil })
 }
 
 func TestFeedLost(t *testing.T) {
@@ -464,8 +534,8 @@
 	k := b.client()
 	b.list.answersOnce("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 	k.quick(1, "2000")
-	e.hears("serve").answer("HIT", "count=1", "a\n")
-	k.gets(frame.Answer, 1, frame.Done, "a\n")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
 	b.list.tell(false, [3]string{"e9", f.ln.Addr().String(), "active"}) // heard once the feed is back
 	b.knows("e9")
 }
@@ -515,10 +585,10 @@
 	k.gets(frame.IsReady, 5, 2, "")
 	k.quick(2, "2000") // crossed the word to stop
 	d := e.hears("serve")
-	c.answer("HIT", "count=1", "a\n")
-	k.gets(frame.Answer, 1, frame.Done, "a\n")
-	d.answer("HIT", "count=1", "b\n")
-	k.gets(frame.Answer, 2, frame.Done, "b\n")
+	c.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	d.answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
 	b.exits()
 }
 
@@ -551,6 +621,14 @@
 		{"class", "quick", "id", "0000000000000001", "wait", "soon"},
 		{"class", "quick", "id", "0000000000000001", "wait", "100", "cost", "-1"},
 		{"class", "quick", "id", "0000000000000001", "wait", "100", "once", "a,heap=9"},
+		{"class", "quick", "id", "0000000000000001", "wait", "0"},
+		{"class", "quick", "id", "0000000000000001", "wait", "4000000000"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "cost", "NaN"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "cost", "1e3"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "cost", ""},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "memory", "99999999999999999999"},
+		{"class", "quick", "id", "0000000000000001", "wait", "100", "id", "0000000000000002"},
+		{"class", "load", "id", "0000000000000001", "wait", "100"},
 	} {
 		k.asks(uint32(stream+1), "", fields...)
 		if got := k.gets(frame.Answer, uint32(stream+1), frame.CancelledFor, ""); got["error"] == "" {
@@ -563,22 +641,88 @@
 		k.gets(frame.Answer, 0, frame.CancelledFor, "")
 		k.closes()
 	}
-	k.quick(20, "2000") // a stream that is in use can't be told apart any more
+	k.quick(30, "2000")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 30, frame.Done, rowA)
+	k.quick(31, "2000") // is answered before the connection ends
 	e.hears("serve")
-	k.quick(20, "2000")
+	k.quick(30, "2000") // not new, though the job is over
+	k.gets(frame.Answer, 31, frame.CancelledFor, "")
 	k.gets(frame.Answer, 0, frame.CancelledFor, "")
 	k.closes()
 	e.hears("cancel")
 }
 
+// TestTooManyOpen: past the protocol's number of open jobs a client's are turned away, others' are not.
+func TestTooManyOpen(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k, other := b.client(), b.client()
+	for stream := range uint32(33) {
+		k.quick(stream+1, "2900")
+	}
+	for last := uint32(0); last != 33; { // the module may turn others away
+		_, stream, code, _, _ := k.next()
+		if last = stream; code != frame.Throttled {
+			t.Fatal(stream, code)
+		}
+	}
+	other.asks(1, "select 1", "class", "quick", "id", "00000000000000ff", "wait", "2900")
+	for c := e.hears("serve"); ; c = e.hears("serve") {
+		c.answer("HIT", "count=1", rowA)
+		if c.words[1] == "00000000000000ff" {
+			break
+		}
+	}
+	other.gets(frame.Answer, 1, frame.Done, rowA)
+}
+
+// TestQuietClients: connections that say nothing or half a frame end, and at the limit the one quiet for longest
+// makes room for a newcomer.
+func TestQuietClients(t *testing.T) {
+	b := start(t, "")
+	b.client()
+	dial := func() conn {
+		c, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(patience))
+		return conn{c, t}
+	}
+	silent, half := dial(), dial()
+	half.write([]byte{0, 0, 1, 0, frame.Job})
+	b.until(func() bool {
+		for k := range b.c.clients {
+			if k.half.Load() > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	b.c.do(func() {
+		b.c.now += silentClient + time.Second
+		b.c.sweepClients()
+	})
+	silent.closes()
+	half.gets(frame.Answer, 0, frame.CancelledFor, "")
+	half.closes()
+	first := dial()
+	for range b.c.mostClients() {
+		b.client()
+	}
+	first.closes()
+}
+
 func TestMalformedFromEngine(t *testing.T) {
 	for _, answer := range []string{"garbage\r\n", "*1\r\n$1\r\na\r\n"} {
 		e := newStandIn(t, "127.0.0.1:0")
 		k := start(t, "", e).client()
 		k.quick(1, "2900")
 		_, _ = e.hears("serve").conn.Write([]byte(answer))
-		e.hears("serve").answer("HIT", "count=1", "b\n")
-		k.gets(frame.Answer, 1, frame.Done, "b\n")
+		e.hears("serve").answer("HIT", "count=1", rowB)
+		k.gets(frame.Answer, 1, frame.Done, rowB)
 	}
 }
 
@@ -592,8 +736,8 @@
 	k.gets(frame.Answer, 1, frame.CancelledFor, "")
 	e.hears("cancel")
 	k.quick(2, "2000")
-	e.hears("serve").answer("HIT", "count=1", "b\n")
-	k.gets(frame.Answer, 2, frame.Done, "b\n")
+	e.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
 }
 
 // TestUnreachable: a refused connection proves that nothing ran, and the job goes elsewhere.
@@ -603,8 +747,8 @@
 	a.ln.Close()
 	for stream := uint32(1); stream <= 4; stream++ {
 		k.asks(stream, "", "class", "load", "id", fmt.Sprintf("%016x", stream), "wait", "2900", "once", "k")
-		b.hears("serve").answer("HIT", "count=1", "b\n")
-		k.gets(frame.Answer, stream, frame.Done, "b\n")
+		b.hears("serve").answer("HIT", "count=1", rowB)
+		k.gets(frame.Answer, stream, frame.Done, rowB)
 	}
 }
 
@@ -619,7 +763,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{conn: conn, wake: make(chan struct{}, 1)} // no writer runs
+	l := &link{c: &Controller{}, conn: conn, wake: make(chan struct{}, 1)} // no writer runs
 	first, second := l.add([]byte("first ")), l.add([]byte("sec"), []byte("ond "))
 	third := l.add([]byte("third"))
 	if !l.withdraw(second) || l.withdraw(second) || l.wrote(first) || l.backlog() != len("first third") {
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -12,6 +12,7 @@
 const (
 	clientsAccepted counter = iota
 	clientsRefused
+	clientsEvicted
 	clientsMisread
 	clientsTooSlow
 	clientsIdle
@@ -58,7 +59,7 @@
 	counters
 )
 
-var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_misread",
+var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_evicted", "clients_misread",
 	"clients_too_slow", "clients_idle", "jobs_taken", "jobs_misread", "jobs_over_limit", "client_gone", "done",
 	"throttled", "cancelled_for_good", "cut_by_exit", "answers_late", "alarms_late", "dispatched", "outcome_done", "outcome_errored",
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
+	"log/slog"
 	"maps"
 	"net"
 	"net/netip"
@@ -11,6 +13,7 @@
 	"strconv"
 	"syscall"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cloudwego/netpoll"
 
@@ -104,32 +107,53 @@
 	for _, l := range e.links {
 		l.stale = true
 	}
-	for _, cancel := range e.dials {
+	for n, cancel := range e.dials {
 		cancel()
+		delete(e.dials, n)
 	}
 	c.refuse(e, logic.NoConnection)
 }
 
-// refuse tells the outcome of what waits for a connection to an engine.
+// refuse tells the outcome of what waits for a connection to an engine and has no dial left to wait for.
 func (c *Controller) refuse(e *engine, o logic.Outcome) {
-	for _, d := range slices.Clone(e.waiting) {
+	for _, d := range slices.Clone(e.waiting[:max(len(e.waiting)-len(e.dials), 0)]) {
 		c.later(func() { c.over(d, o) })
 	}
 }
 
-// send puts a dispatch on a connection with room, or has it wait for a new one.
+// send has a dispatch wait for a connection, which is mostly there already.
 func (c *Controller) send(d *dispatch) {
-	e := d.engine
-	for _, l := range e.links {
-		if !l.stale && !l.gone && len(l.open) < c.cfg.Settings.Streams && (d.job.last == nil || l != d.job.last.link) {
+	d.engine.waiting = append(d.engine.waiting, d)
+	c.place(d.engine)
+}
+
+// place puts what waits on connections. Each dispatch has one to itself while descriptors last, as one spoilt or
+// lost answer takes along all that is open on its connection; after that they share, up to the settings' number.
+func (c *Controller) place(e *engine) {
+	crowded := c.links >= c.mostLinks()*3/4
+	for at, need := 0, 1; at < len(e.waiting); {
+		d := e.waiting[at]
+		l := e.roomiest(d.job.last)
+		if l != nil && (len(l.open) == 0 || crowded && len(l.open) < c.cfg.Settings.Streams) {
+			e.waiting = slices.Delete(e.waiting, at, at+1)
 			c.put(d, l)
-			return
+			continue
+		}
+		if len(e.dials) == 0 || !crowded && len(e.dials) < need {
+			c.dial(e)
 		}
+		at, need = at+1, need+1
 	}
-	e.waiting = append(e.waiting, d)
-	if len(e.waiting) > len(e.dials)*c.cfg.Settings.Streams || len(e.dials) == 0 {
-		c.dial(e)
+}
+
+// roomiest is the connection in use with least open, but for the one on which the job's id has been.
+func (e *engine) roomiest(last *dispatch) (best *engineLink) {
+	for _, l := range e.links {
+		if !l.stale && !l.gone && (last == nil || l != last.link) && (best == nil || len(l.open) < len(best.open)) {
+			best = l
+		}
 	}
+	return best
 }
 
 // put queues a dispatch on a connection: the head, the statement as it came, and the end of the line.
@@ -154,7 +178,7 @@
 	l.used = c.now
 	d.message = l.add(head, j.statement, []byte("\r\n"))
 	// Guards against an engine that takes nothing in: its connection is given up, and with it what is open.
-	if l.backlog() > 8<<20 {
+	if int64(l.backlog()) > c.cfg.MemoryMB<<20/16 {
 		l.stale = true
 		c.counts[enginesTooSlow]++
 		c.closeSoon(l.conn)
@@ -202,6 +226,8 @@
 	}
 	if l.stale && len(l.open) == 0 {
 		l.end()
+	} else if len(l.engine.waiting) > 0 {
+		c.place(l.engine)
 	}
 }
 
@@ -269,7 +295,12 @@
 }
 
 func (c *Controller) dialed(e *engine, n int64, l *engineLink, err error) {
+	wanted := e.dials[n] != nil
 	delete(e.dials, n)
+	if err == nil && !wanted { // the engine lost its address meanwhile: whoever has it now is another
+		l.stale = true
+		l.end()
+	}
 	if err != nil {
 		c.links--
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
@@ -283,33 +314,45 @@
 	}
 	e.links = append(e.links, l)
 	l.used, l.heard = c.now, c.now
-	waiting := e.waiting
-	e.waiting = nil
-	for _, d := range waiting {
-		c.send(d)
-	}
+	c.place(e)
 }
 
 func (c *Controller) engineClosed(l *engineLink) {
 	l.closed()
-	l.gone = true
 	c.links--
 	e := l.engine
 	e.links = slices.DeleteFunc(e.links, func(o *engineLink) bool { return o == l })
 	if len(l.open) > 0 {
 		c.counts[linksLost]++
 	}
+	c.lose(l, logic.ConnectionLost)
+}
+
+// lose tells the outcome of all that is open on a connection that serves nothing more.
+func (c *Controller) lose(l *engineLink, o logic.Outcome) {
+	l.gone = true
 	for _, id := range sorted(l.open) {
-		d := l.open[id]
+		d, o := l.open[id], o
 		d.stopped = true
-		o := logic.ConnectionLost
-		if !l.wrote(d.message) {
+		if l.withdraw(d.message) || !l.wrote(d.message) {
 			o = logic.NotSent
 		}
 		c.later(func() { c.over(d, o) })
 	}
 }
 
+// spoilt guards against an engine's connection whose bytes can't be trusted any more: it is closed, and all that is
+// open on it has failed at once, not at its time-out. The engine itself has answered, so it is not taken for dead.
+func (c *Controller) spoilt(l *engineLink, why error) {
+	if l.gone {
+		return
+	}
+	c.counts[enginesMisread]++
+	c.note(slog.LevelDebug, "engine misread", "engine", l.engine.id, "why", why)
+	c.lose(l, logic.Errored)
+	c.closeSoon(l.conn)
+}
+
 // onData reads answers of an engine in place.
 func (l *engineLink) onData() error {
 	c := l.c
@@ -327,31 +370,37 @@
 		return size, nil
 	}, func() { c.all(calls) })
 	if err != nil {
-		c.do(func() {
-			c.counts[enginesMisread]++
-			l.stale = true
-		})
-		return l.conn.Close()
+		c.do(func() { c.spoilt(l, err) })
 	}
 	return nil
 }
 
+var (
+	errAnswer  = errors.New("no answer of the protocol")
+	errFigure  = errors.New("a figure can't be read")
+	errPage    = errors.New("no page of a result")
+	errSecond  = errors.New("two answers differ")
+	errStopped = errors.New("an answer does not go on")
+)
+
 // engineSays reads one answer in place and gives the call that it leads to.
 func (c *Controller) engineSays(l *engineLink, id logic.JobID, word string, fields, body []byte) func() {
-	load, work, memory, pages, page := noLoad, 0.0, 0.0, 0, -1
+	load, work, memory, pages, page, err := noLoad, 0.0, 0.0, 0, -1, error(nil)
 	resp.Fields(fields, func(name, value []byte) {
+		var wrong error
 		switch string(name) {
 		case "ticks":
-			work, _ = number(value)
+			work, wrong = figure(value)
 		case "footprint":
-			memory, _ = number(value)
+			memory, wrong = figure(value)
 		case "count":
-			pages, _ = strconv.Atoi(string(value))
+			pages, wrong = strconv.Atoi(string(value))
 		case "pos":
-			page, _ = strconv.Atoi(string(value))
+			page, wrong = strconv.Atoi(string(value))
 		case "stats":
-			load = readLoad(value)
+			load, wrong = readLoad(value)
 		}
+		err = cmp.Or(err, wrong)
 	})
 	if word == "PONG" || word == "SICK" {
 		return func() {
@@ -360,6 +409,9 @@
 		}
 	}
 	return func() {
+		if l.gone {
+			return
+		}
 		l.heard = c.now
 		d := l.open[id]
 		if d == nil {
@@ -371,21 +423,31 @@
 		}
 		switch word {
 		case "HIT":
-			d.work, d.memory = time.Duration(work*float64(time.Millisecond)), memory
-			if pages < 1 || pages > mostPages || d.begun {
-				c.faultyAnswer(d)
-				return
+			if err == nil && d.begun { // a second copy does no harm
+				c.counts[strayAnswers]++
+				err = d.same(0, body)
+				break
+			}
+			if pages < 1 || pages > mostPages {
+				err = cmp.Or(err, errPage)
+			}
+			if err != nil {
+				break
 			}
+			d.work, d.memory = time.Duration(work*float64(time.Millisecond)), memory
 			d.begun, d.pages, d.missing, d.reads = true, make([][]byte, pages), pages, c.now
 			for n := 1; n < pages; n++ {
 				l.say("read", string(id), strconv.Itoa(n))
 			}
-			c.page(d, 0, body)
+			err = c.page(d, 0, body)
 		case "PART":
+			if err != nil {
+				break
+			}
 			if d.begun && page == 1 {
 				d.engine.trip.add(c.now - d.reads)
 			}
-			c.page(d, page, body)
+			err = c.page(d, page, body)
 		case "SHED", "LATE":
 			c.unlist(d)
 			c.over(d, logic.TurnedAway)
@@ -393,34 +455,38 @@
 			c.unlist(d)
 			c.over(d, logic.Errored)
 		default:
-			c.faultyAnswer(d)
+			err = errAnswer
+		}
+		if err != nil {
+			c.counts[faultyAnswers]++
+			c.spoilt(l, err)
 		}
 	}
 }
 
-// A result has 48,000 bytes at most and a page 6,000, at least one row each.
-const mostResult, mostPage, mostPages = 48_000, 6_000, 4_096
+// A result has 48,000 bytes at most and a page 6,000. Pages that are filled with rows as far as they go come to 17;
+// there is room for an engine that fills them badly.
+const mostResult, mostPage, mostPages = 48_000, 6_000, 64
 
 // page keeps a page at its place; with the last one the job is done.
-func (c *Controller) page(d *dispatch, n int, body []byte) {
-	if !d.begun || n < 0 || n >= len(d.pages) || d.pages[n] != nil || len(body) > mostPage ||
-		len(body) > 0 && body[len(body)-1] != '\n' {
-		c.faultyAnswer(d)
-		return
+func (c *Controller) page(d *dispatch, n int, body []byte) error {
+	if !d.begun || n < 0 || n >= len(d.pages) || !isPage(body) || len(body) == 0 && len(d.pages) > 1 {
+		return errPage
+	}
+	if d.pages[n] != nil {
+		c.counts[strayAnswers]++
+		return d.same(n, body)
 	}
 	d.pages[n] = append(make([]byte, 0, len(body)), body...)
+	d.size += len(body)
 	c.bytes += int64(len(body))
 	c.counts[pagesRead]++
-	if d.missing--; d.missing > 0 {
-		return
+	d.paged = c.now
+	if d.size > mostResult {
+		return errPage
 	}
-	size := 0
-	for _, page := range d.pages {
-		size += len(page)
-	}
-	if size > mostResult {
-		c.faultyAnswer(d)
-		return
+	if d.missing--; d.missing > 0 {
+		return nil
 	}
 	if len(d.pages) > 1 {
 		d.link.say("release", string(d.job.id))
@@ -432,32 +498,72 @@
 	c.answer(d.job, frame.Done, "", "", d.pages...)
 	d.pages = nil // alarms may hold on to the dispatch for seconds
 	c.over(d, logic.Done)
+	return nil
 }
 
-// faultyAnswer guards the client: what an engine got wrong is an error of the dispatch, never a result.
-func (c *Controller) faultyAnswer(d *dispatch) {
-	c.counts[faultyAnswers]++
-	c.over(d, logic.Errored)
+// same tells whether a page came twice the same. Which of two is right can't be told.
+func (d *dispatch) same(n int, body []byte) error {
+	if !bytes.Equal(d.pages[n], body) {
+		return errSecond
+	}
+	return nil
 }
 
-// readLoad reads an engine's report of itself, as in util:0.61;queue:3.
-func readLoad(stats []byte) logic.Load {
-	load := noLoad
-	resp.Pairs(stats, ';', ':', func(name, value []byte) {
-		n, err := strconv.ParseFloat(string(value), 64)
-		if err != nil {
-			return
+// isPage tells whether a text is whole rows of three columns, as far as that shows.
+func isPage(body []byte) bool {
+	if len(body) > mostPage || !utf8.Valid(body) || len(body) > 0 && body[len(body)-1] != '\n' {
+		return false
+	}
+	tabs := 0
+	for _, ch := range body {
+		switch {
+		case ch == '\t':
+			tabs++
+		case ch == '\n':
+			if tabs != 2 {
+				return false
+			}
+			tabs = 0
+		case ch < ' ' || ch == 0x7f:
+			return false
 		}
+	}
+	return true
+}
+
+// figure reads a number that an engine reports.
+func figure(text []byte) (float64, error) {
+	n, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(n >= 0 && n <= mostFigure) {
+		return 0, errFigure
+	}
+	return n, nil
+}
+
+// readLoad reads an engine's report of itself, as in util:0.61;queue:3. A figure that can't be is none.
+func readLoad(stats []byte) (load logic.Load, err error) {
+	load = noLoad
+	resp.Pairs(stats, ';', ':', func(name, value []byte) {
+		var at *float64
 		switch string(name) {
 		case "util":
-			load.Util = n
+			at = &load.Util
 		case "queue":
-			load.Waiting = n
+			at = &load.Waiting
 		case "x0":
-			load.MemoryGranted = n
+			at = &load.MemoryGranted
+		default:
+			return
+		}
+		n, wrong := figure(value)
+		if *at = n; wrong != nil {
+			err = wrong
 		}
 	})
-	return load
+	if err != nil {
+		load = noLoad
+	}
+	return load, err
 }
 
 // probe asks an engine for its health, on a connection that is up.
@@ -511,11 +617,29 @@
 	}
 }
 
+// halfAnswer is for the rest of an answer that has begun, or the next page of a result: many trips, little against
+// a job.
+const halfAnswer = 400 * time.Millisecond
+
+// sweepLinks guards against answers that break off on a connection that stays open.
+func (c *Controller) sweepLinks(e *engine) {
+	for _, l := range e.links {
+		stopped := l.halfSince(c.now) > halfAnswer
+		for _, d := range l.open {
+			stopped = stopped || d.begun && c.now-d.paged > halfAnswer
+		}
+		if stopped {
+			c.spoilt(l, errStopped)
+		}
+	}
+}
+
 // sweepEngines closes connections at four fifths of the time after which the engine would, as what is sent
 // while it closes would be lost, and forgets engines that are gone.
 func (c *Controller) sweepEngines() {
 	for _, id := range sorted(c.engines) {
 		e := c.engines[id]
+		c.sweepLinks(e)
 		if idle := c.cfg.Settings.IdleClose; idle > 0 {
 			c.closeIdle(e, idle*4/5)
 		}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -35,8 +35,10 @@
 	sent      time.Duration
 	until     time.Duration
 	pages     [][]byte
+	size      int           // of the pages here
 	missing   int           // pages not here yet
 	reads     time.Duration // when they were asked for
+	paged     time.Duration // when the last one came
 	begun     bool
 	stopped   bool // the engine was told to stop, or the connection closed
 	fenced    bool // waits until the one before has stopped
@@ -119,7 +121,7 @@
 	}
 	j.client = nil
 	delete(k.jobs, j.stream)
-	k.idle = c.now
+	k.active = c.now
 	if late := c.now - j.expires; j.expires > 0 && late > lateAnswer {
 		c.counts[answersLate]++
 		c.note(slog.LevelWarn, "answer late", "job", j.id, "by", late, "code", code, "dispatches", j.sent)
--- a/controller/link.go
+++ b/controller/link.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -16,6 +17,7 @@
 	conn netpoll.Connection
 	rest []byte
 	wake chan struct{}
+	half atomic.Int64 // when the message that is not whole yet began, by the controller's clock, or 0
 
 	mu            sync.Mutex
 	pending       []message
@@ -58,11 +60,19 @@
 	l.queued++
 	m := message{l.queued, parts}
 	l.pending = append(l.pending, m)
-	l.unsent += m.size()
+	l.keep(m.size())
 	l.signal()
 	return l.queued
 }
 
+// keep counts what is queued, or has left. Nothing is counted after the end.
+func (l *link) keep(size int) {
+	if !l.over || size < 0 && l.unsent+size >= 0 {
+		l.unsent += size
+		l.c.held.Add(int64(size))
+	}
+}
+
 // then has f done, under the controller's lock, once all that is queued now has left.
 func (l *link) then(f func()) {
 	l.mu.Lock()
@@ -90,6 +100,9 @@
 func (l *link) closed() {
 	l.mu.Lock()
 	l.over = true
+	l.keep(-l.unsent)
+	l.pending = nil
+	l.c.held.Add(-int64(len(l.rest)))
 	l.signal()
 	l.mu.Unlock()
 }
@@ -102,7 +115,7 @@
 	if at < 0 {
 		return false
 	}
-	l.unsent -= l.pending[at].size()
+	l.keep(-l.pending[at].size())
 	l.pending = slices.Delete(l.pending, at, at+1)
 	return true
 }
@@ -134,7 +147,7 @@
 		l.c.all(flushed)
 		last = time.Now()
 		l.mu.Lock()
-		l.unsent -= size
+		l.keep(-size)
 		l.mu.Unlock()
 		if ending {
 			break
@@ -162,6 +175,14 @@
 	return size, flushed, l.ending, false
 }
 
+// halfSince is for how long a message has been coming.
+func (l *link) halfSince(now time.Duration) time.Duration {
+	if since := l.half.Load(); since > 0 {
+		return now - time.Duration(since)
+	}
+	return 0
+}
+
 // maxRest is what an idle connection may keep of a buffer for messages in parts.
 const maxRest = 16 << 10
 
@@ -173,23 +194,30 @@
 	if err != nil {
 		return err
 	}
-	if len(l.rest) > 0 {
+	before := len(l.rest)
+	if before > 0 {
 		l.rest = append(l.rest, data...)
 		data = l.rest
 	}
-	size := 0
+	size, whole := 0, false
 	for len(data) > 0 {
 		if size, err = next(data); err != nil || size == 0 {
 			break
 		}
-		data = data[size:]
+		data, whole = data[size:], true
 	}
 	then()
+	if len(data) == 0 {
+		l.half.Store(0)
+	} else if whole || l.half.Load() == 0 {
+		l.half.Store(int64(l.c.clock()))
+	}
 	if len(data) == 0 && cap(l.rest) > maxRest {
 		l.rest = nil
 	} else {
 		l.rest = append(l.rest[:0], data...)
 	}
+	l.c.held.Add(int64(len(l.rest) - before))
 	_ = r.Release()
 	return err
 }
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// sweepEvery is fine enough for idle times of seconds.
-const sweepEvery = 500 * time.Millisecond
+// sweepEvery is fine enough for idle times of seconds, and for answers that break off.
+const sweepEvery = 100 * time.Millisecond
 
 // countersEvery lets a log tell when something began; a line each time is little.
 const countersEvery = 10 * time.Second
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -8,10 +8,11 @@
 )
 
 // The most words of an array and bytes of a word that are taken: four words are sent, and a page has 6,000
-// bytes, so that both leave room for later fields.
+// bytes, so that both leave room for later fields. A number has no more digits than it needs.
 const (
-	MaxWords = 16
-	MaxWord  = 1 << 16
+	MaxWords  = 8
+	MaxWord   = 1 << 14
+	mostDigit = 5
 )
 
 var (
@@ -54,7 +55,7 @@
 	for i := at + 1; i < len(data); i++ {
 		switch d := data[i]; {
 		case d >= '0' && d <= '9':
-			if n = n*10 + int(d-'0'); n > most {
+			if n = n*10 + int(d-'0'); n > most || i-at > mostDigit {
 				return 0, 0, errLimit
 			}
 		case d == '\r' && i > at+1:
