A stuck job leaves early enough for a short SLA time, and for another engine

A recalled job could also go back to the engine it came from. At fault: the last line of stuck, and liking. Now at most 0.6 of the shortest SLA time more, and an engine that the job has been at is liked less by its cores.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -217,6 +217,7 @@
 		d: min(now+r.JobTimeout, expires)}
 	c.jobs[id] = j
 	if c.set.BudgetWindow > 0 {
+		c.budgetAllows() // which forgets what is past the window
 		c.taken = append(c.taken, now)
 	}
 	if r.Ordered && key != "" {
@@ -258,9 +259,7 @@
 	return min(time.Duration(j.row.unit.value*j.unitCost()), j.row.JobTimeout)
 }
 
-func (j *job) unitCost() float64 {
-	return cmp.Or(j.cost/j.row.Threads, 1)
-}
+func (j *job) unitCost() float64 { return cmp.Or(j.cost/j.row.Threads, 1) }
 
 // sla is when the answer stops earning its full value.
 func (c *Controller) sla(j *job) time.Duration {
@@ -322,9 +321,7 @@
 	return 1
 }
 
-func order(a, b *job) int {
-	return cmp.Or(a.level-b.level, cmp.Compare(a.slack, b.slack), a.seq-b.seq)
-}
+func order(a, b *job) int { return cmp.Or(a.level-b.level, cmp.Compare(a.slack, b.slack), a.seq-b.seq) }
 
 // release sends held jobs in order while an engine has room. It is the only way to a dispatch.
 func (c *Controller) release() {
@@ -436,6 +433,9 @@
 	if e.location == c.set.Location {
 		like += 0.5 // crossing costs little, so only near-equals
 	}
+	if slices.ContainsFunc(j.maybeRan, func(d *dispatch) bool { return d.engine == e }) {
+		like -= e.cores // it failed or stood still there
+	}
 	for _, o := range e.out {
 		if o.row.HoldsLoad && o.tables == j.tables && (j.row.StandsBy || j.row.HoldsLoad) {
 			like -= e.cores // it would stand still there
@@ -807,7 +807,7 @@
 	case d.share > 0.02:
 		return float64(d.noted-d.sent)*(1-d.share)/d.share-float64(c.now-d.noted) > 4*float64(e)
 	}
-	return c.now-d.sent > 3*e+300*time.Millisecond
+	return c.now-d.sent > 3*e+min(300*time.Millisecond, c.shortest*3/5) // of a short SLA time some must be left
 }
 
 func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -142,6 +142,18 @@
 		h.after(8 * time.Second)
 		h.over("j", 0, "a", Recalled)
 	})
+	run(t, "short_sla_time_leaves_some_for_another_engine", func(h *bench) {
+		h.start(func(s *Settings) { s.Types[0].SLATime = 400 * ms })
+		h.up("a", "b")
+		for _, id := range []JobID{"known", "1", "2", "3", "4"} {
+			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+3*time.Second, 20*ms, 0, 1, false)
+			if at := h.c.jobs[id].out.engine.id; id != "known" {
+				h.after(340 * ms)
+				h.over(id, 0, at, Recalled)
+			}
+			h.c.DispatchOver(h.now, id, 0, "", Done, 20*ms, true, 0, 0, Load{})
+		}
+	})
 	run(t, "overload_sheds_least_value", func(h *bench) {
 		h.start(nil)
 		h.up("a")
