--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -454,6 +454,25 @@
 	e.hears("cancel")
 }
 
+// TestOneTimeOut: a connection on which a job timed out stays in use while its engine answers on others.
+func TestOneTimeOut(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	k := start(t, "", e).client()
+	k.quick(1, "500")
+	first := e.hears("serve")
+	k.quick(2, "2900")
+	second := e.hears("serve")
+	second.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 2, frame.Done, rowA)
+	k.gets(frame.Answer, 1, frame.Throttled, "")
+	for stream := range uint32(2) {
+		k.quick(stream+3, "2900")
+		if c := e.hears("serve"); c.conn != first.conn && c.conn != second.conn {
+			t.Error("a third connection")
+		}
+	}
+}
+
 // TestStopsBeforeNext: the next dispatch goes out only once the engine has taken in that the one before is over.
 func TestStopsBeforeNext(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -35,6 +35,7 @@
 	links    []*engineLink
 	waiting  []*dispatch // for a connection
 	dials    map[int64]context.CancelFunc
+	heard    time.Duration // when bytes last came, on any connection
 	trip     trip
 }
 
@@ -65,10 +66,13 @@
 	open   map[logic.JobID]*dispatch
 	used   time.Duration // when a dispatch last began or ended
 	heard  time.Duration // when bytes last came
+	mute   int           // dispatches that timed out since
 	stale  bool          // takes nothing new
 	gone   bool
 }
 
+func (l *engineLink) hears() { l.heard, l.engine.heard, l.mute = l.c.now, l.c.now, 0 }
+
 // probe is a question to an engine that belongs to no job.
 type probe struct {
 	engine *engine
@@ -237,8 +241,9 @@
 	}
 	if l := d.link; l != nil && l.heard < d.sent {
 		// Guards against a connection to a machine that is cut off, which stays open and silent: whether a new one
-		// comes up tells more than another time-out would.
-		l.stale = true
+		// comes up tells more than another time-out would. One that is silent alone may only have a slow job.
+		l.mute++
+		l.stale = l.stale || l.mute > 1 || d.engine.heard < d.sent
 	}
 	c.giveUp(d, logic.TimedOut)
 }
@@ -404,7 +409,7 @@
 	})
 	if word == "PONG" || word == "SICK" {
 		return func() {
-			l.heard = c.now
+			l.hears()
 			c.probed(string(id), word == "PONG", load)
 		}
 	}
@@ -412,7 +417,7 @@
 		if l.gone {
 			return
 		}
-		l.heard = c.now
+		l.hears()
 		d := l.open[id]
 		if d == nil {
 			c.counts[strayAnswers]++
