One lost connection counts as an error of its engine, not as its death

An engine that died loses all its connections together, and the next dial tells; two in a row, or a third of late, still take it out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -609,7 +609,7 @@
 			e.suspected, e.wait, e.errors = false, 0, 0
 			c.host.Log(fmt.Sprintf("engine %s answers again", e.id))
 		}
-	case Errored:
+	case Errored, ConnectionLost:
 		// Guards against an engine that fails jobs fast and so seems to have room: two in a row, or a third.
 		e.answered, e.silent, e.errors = c.now, 0, e.errors*0.8+0.2
 		if e.errors > 0.35 || e.suspected {
@@ -623,7 +623,7 @@
 		if e.silent >= 3 {
 			c.suspect(e, "silence")
 		}
-	case NoConnection, ConnectionLost:
+	case NoConnection:
 		c.suspect(e, o.String())
 	}
 }
