What has not left is taken back from a draining engine, and dials to an old address end

Seen on reading beside the rule on drains: a dispatch queued on a connection whose engine takes nothing in left whenever that ended, also after the grace (engineListed only marked connections stale); a dial under way when an engine moved was still used for its old address; at the limit of connections one on which the front asks, quiet by nature, went before one that had said nothing (makeRoom). Tests: TestDrainTakesBack, with a tick of a second between writes. Feed answers are bounded at 1 MB, as the smallest machines have 32.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -59,12 +59,12 @@
 	return context.WithValue(context.Background(), clientKey{}, k)
 }
 
-// makeRoom guards newcomers against clients that keep their connections for good, or connect and say nothing: the
-// one without an open job that has been quiet for longest goes.
+// makeRoom guards newcomers against clients that keep their connections for good, or connect and say nothing: of
+// those without an open job, the one that would be closed next for its quiet goes.
 func (c *Controller) makeRoom() bool {
 	var quiet *client
 	for k := range c.clients {
-		if len(k.jobs) == 0 && (quiet == nil || k.active < quiet.active) {
+		if len(k.jobs) == 0 && (quiet == nil || k.quietUntil() < quiet.quietUntil()) {
 			quiet = k
 		}
 	}
@@ -408,15 +408,24 @@
 // and frontIdle for the connections on which the front asks.
 const silentClient, idleClient, frontIdle = 2 * time.Second, 6 * time.Second, time.Minute
 
+// quietUntil is how long a connection without an open job may say nothing.
+func (k *client) quietUntil() time.Duration {
+	switch {
+	case k.front:
+		return k.active + frontIdle
+	case k.spoke:
+		return k.active + idleClient
+	}
+	return k.active + silentClient
+}
+
 func (c *Controller) sweepClients() {
 	for k := range c.clients {
-		quiet := c.now - k.active
 		switch {
 		case k.gone || k.faulty.Load():
 		case k.halfSince(c.now) > silentClient:
 			c.misread(k, errHalf)
-		case len(k.jobs) > 0:
-		case !k.spoke && quiet > silentClient, !k.front && quiet > idleClient, quiet > frontIdle:
+		case len(k.jobs) == 0 && c.now > k.quietUntil():
 			c.counts[clientsIdle]++
 			k.end()
 		}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -458,18 +458,26 @@
 func TestOneTimeOut(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	k := start(t, "", e).client()
-	k.quick(1, "500")
-	first := e.hears("serve")
-	k.quick(2, "2900")
-	second := e.hears("serve")
-	second.answer("HIT", "count=1", rowA)
+	conns := map[net.Conn]bool{}
+	both := func(stream uint32, wait string) (one, other command) {
+		k.quick(stream, wait)
+		one = e.hears("serve")
+		k.quick(stream+1, "2900")
+		other = e.hears("serve")
+		conns[one.conn], conns[other.conn] = true, true
+		return one, other
+	}
+	one, other := both(1, "2900")
+	one.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	other.answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 2, frame.Done, rowA)
-	k.gets(frame.Answer, 1, frame.Throttled, "")
-	for stream := range uint32(2) {
-		k.quick(stream+3, "2900")
-		if c := e.hears("serve"); c.conn != first.conn && c.conn != second.conn {
-			t.Error("a third connection")
-		}
+	_, other = both(3, "500")
+	other.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 4, frame.Done, rowA)
+	k.gets(frame.Answer, 3, frame.Throttled, "")
+	if both(5, "2900"); len(conns) != 2 {
+		t.Error(len(conns), "connections")
 	}
 }
 
@@ -547,6 +555,30 @@
 	b.until(func() bool { return b.c.engines[id] != nil })
 }
 
+// TestDrainTakesBack: what has not left yet when an engine is to drain goes elsewhere. A long tick keeps it back.
+func TestDrainTakesBack(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := start(t, `},"tick":1000000000,"more":{"none":0`, e)
+	k := b.client()
+	k.quick(1, "2900")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	b.until(func() bool { return b.c.counts[done] == 1 })
+	k.quick(2, "2900")
+	b.until(func() bool { return len(b.c.jobs) == 1 })
+	b.list.tell(false, [3]string{"e0", e.ln.Addr().String(), "leaving"}, [3]string{"e1", f.ln.Addr().String(), "active"})
+	b.c.do(func() { // at once, as the feed's calls wait a tick too
+		_ = b.c.feed.tell([]byte(b.list.text(1)), func(bool) logic.ListKind { return logic.ListChanges })
+	})
+	f.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+	select {
+	case c := <-e.said:
+		t.Error("after the drain: ", c.words)
+	default:
+	}
+}
+
 func TestFeedLost(t *testing.T) {
 	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -97,17 +97,26 @@
 			}
 		}
 	}
-	if e.address != address || e.since != since { // another process: what is open to the old one leads nowhere new
-		for _, l := range e.links {
-			l.stale = true
-		}
-	}
+	moved := e.address != address || e.since != since
 	e.address, e.location, e.kind, e.cell, e.state, e.weight, e.since = address, location, kind, cell, state,
 		weight, since
+	if moved { // another process: what is open to the old one leads nowhere new
+		c.abandon(e)
+		c.place(e)
+	}
+	if state != logic.Up {
+		c.retract(e)
+	}
 }
 
 func (c *Controller) unaddress(e *engine) {
 	e.address = ""
+	c.abandon(e)
+	c.refuse(e, logic.NoConnection)
+}
+
+// abandon has nothing new go on the connections to an engine, those being dialed among them.
+func (c *Controller) abandon(e *engine) {
 	for _, l := range e.links {
 		l.stale = true
 	}
@@ -115,7 +124,21 @@
 		cancel()
 		delete(e.dials, n)
 	}
-	c.refuse(e, logic.NoConnection)
+}
+
+// retract guards the drain of an engine that takes in nothing: what has not left by now would leave any time later.
+func (c *Controller) retract(e *engine) {
+	for _, l := range e.links {
+		for _, id := range sorted(l.open) {
+			if d := l.open[id]; l.withdraw(d.message) {
+				d.withdrawn = true
+				c.later(func() { c.over(d, logic.NotSent) })
+			}
+		}
+	}
+	for _, d := range e.waiting {
+		c.later(func() { c.over(d, logic.NotSent) })
+	}
 }
 
 // refuse tells the outcome of what waits for a connection to an engine and has no dial left to wait for.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,7 +11,7 @@
 // The most bytes of a head and of a body that are taken; a whole list of a thousand engines is some 200 KB.
 const (
 	MaxHead = 16 << 10
-	MaxBody = 4 << 20
+	MaxBody = 1 << 20
 )
 
 var (
