A bound keeps an even share of the cores

A whole share is a thread a core from all controllers together, which engines stand without thrashing.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -673,10 +673,10 @@
 }
 
 // fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
-// and not thrashing, at 1.5 all; with no cost told the best mean is a lucky one and lies lower. Least, half an
-// even share of cores, guards against starving beside controllers that stay wide; most is two threads a core.
+// and not thrashing, at 1.5 all; with no cost told the best mean is a lucky one and lies lower. Least, an even
+// share of the cores, guards against starving beside controllers that stay wide; most is two threads a core.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
-	const least, most = 0.5, 2.0
+	const least, most = 1.0, 2.0
 	target := 1.6
 	if j.cost == 0 {
 		target = 2.0
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -207,7 +207,7 @@
 		h.trace.Reset()
 		h.say("bound above 5 with memory half granted: %v, thrice: %v", seen[0.5], seen[3])
 	})
-	run(t, "bound_keeps_half_an_even_share", func(h *bench) {
+	run(t, "bound_keeps_an_even_share", func(h *bench) {
 		h.start(func(s *Settings) { s.Controllers = 2 })
 		h.up("a")
 		h.learn("a", 40)
