Operators' routes: a language, its checker, and the module that the controller obeys

Need: routes and pools were edited by hand, a wrong unit passed unnoticed, and every job could go to every engine that its type allows.

Change: config/lang reads an INI language with includes and units, by a participle grammar line by line, and says what is wrong with file, line and column. decide/route holds the routes: a compiled table on radix trees that shares unchanged parts between versions, pools with a minimum and fallbacks that do not flap, limits by route with a time to come back. logic takes a placement as part of a job and asks it for engines, room and repeats; without a file it is nil. SIGHUP reads the operators' file too; a job keeps the version that it was taken under. The command line on kong: serve (also bare), check, fmt, diff, explain, routes, version, completion.

Measured: two pools and two routes obeyed between stand-in engines, with fallback, limits and a reload.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	go test -count=1 -race ./...
 
 lint:
-	@unformatted=$$(gofmt -l cmd config controller internal logic); \
+	@unformatted=$$(gofmt -l cmd config controller decide internal logic); \
 	if [ -n "$$unformatted" ]; then echo "not gofmt-clean: $$unformatted"; exit 1; fi
 	go vet ./...
 
--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -1,44 +1,94 @@
-// Command yarrowbarrow runs one controller, configured by the environment.
+// Command yarrowbarrow runs one controller, and checks, formats, compares and explains the operators' files.
 package main
 
 import (
-	"context"
+	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"yarrowbarrow/config"
-	"yarrowbarrow/controller"
+	"github.com/alecthomas/kong"
 )
 
-func main() {
-	// First of all, as a signal that nothing waits for would end the process.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	cfg, err := config.FromEnvironment()
+// The exit codes.
+const (
+	fine     = 0
+	findings = 1
+	usage    = 2
+)
+
+// commands is the command line. Without a word it serves, as the platform starts it.
+type commands struct {
+	LogFormat string `enum:"text,json" default:"text" help:"Form of the log: text or json."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" help:"Least level that is logged: debug, info, warn or error."`
+
+	Serve      serveCommand      `cmd:"" default:"withargs" help:"Run one controller (also without any word)."`
+	Check      checkCommand      `cmd:"" help:"Check an operators' file with all that it includes."`
+	Fmt        fmtCommand        `cmd:"" help:"Write operators' files in their canonical form."`
+	Diff       diffCommand       `cmd:"" help:"Tell what two versions of an operators' file mean differently."`
+	Explain    explainCommand    `cmd:"" help:"Tell where a job would go, and why."`
+	Routes     routesCommand     `cmd:"" help:"Show the routes of an operators' file as a table."`
+	Version    versionCommand    `cmd:"" help:"Show the version of this program."`
+	Completion completionCommand `cmd:"" help:"Write a completion script for bash."`
+}
+
+// errFindings ends with exit code 1 after all has been said.
+var errFindings = errors.New("findings")
+
+// output is where commands write to.
+type output struct{ io.Writer }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, log io.Writer) (code int) {
+	if len(args) == 0 { // as the platform starts it: nothing of the command line is kept in memory
+		serve := serveCommand{Operators: os.Getenv("BALANCER_OPERATORS")}
+		return codeOf(serve.Run(slog.New(slog.NewTextHandler(log, nil))), log)
+	}
+	var c commands
+	parser, err := kong.New(&c, kong.Name("yarrowbarrow"),
+		kong.Description("A workload manager before analytic engines. Exit codes: 0 fine, 1 findings, 2 usage."),
+		kong.UsageOnError(), kong.Writers(out, log), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(n int) { panic(exit(n)) }))
 	if err != nil {
-		log.Error("configuration", "why", err)
-		os.Exit(1)
+		fmt.Fprintln(log, err)
+		return usage
 	}
-	c := controller.New(cfg, log.With("name", cfg.Name))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	show := make(chan os.Signal, 1)
-	signal.Notify(show, syscall.SIGUSR1)
-	go func() {
-		for range show {
-			c.LogCounters()
+	defer func() {
+		if e := recover(); e != nil {
+			n, is := e.(exit)
+			if !is {
+				panic(e)
+			}
+			code = int(n)
 		}
 	}()
-	go func() {
-		for range reload {
-			_ = c.Reload(config.FromEnvironment) // which logs and counts what is wrong
-		}
-	}()
-	if err := c.Run(ctx); err != nil {
-		log.Error("ended", "why", err)
-		os.Exit(1)
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(log, "yarrowbarrow: %v\nTry: yarrowbarrow --help\n", err)
+		return usage
+	}
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(c.LogLevel)) // the parser knows the levels
+	options := &slog.HandlerOptions{Level: level}
+	logger := slog.New(slog.NewTextHandler(log, options))
+	if c.LogFormat == "json" {
+		logger = slog.New(slog.NewJSONHandler(log, options))
 	}
+	return codeOf(ctx.Run(logger, &output{out}, parser), log)
 }
+
+func codeOf(err error, log io.Writer) int {
+	switch {
+	case errors.Is(err, errFindings):
+		return findings
+	case err != nil:
+		fmt.Fprintln(log, "yarrowbarrow:", err)
+		return findings
+	}
+	return fine
+}
+
+// exit is the code that help and the like end with.
+type exit int
--- /dev/null
+++ b/cmd/yarrowbarrow/serve.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"yarrowbarrow/config"
+	"yarrowbarrow/controller"
+)
+
+type serveCommand struct {
+	Operators string `env:"BALANCER_OPERATORS" type:"path" placeholder:"FILE" help:"The operators' file; none: every job may go to every engine that its type allows."`
+}
+
+func (serveCommand) Help() string {
+	return `Configured by the environment: BALANCER_CONFIG names the platform's JSON file, BALANCER_NAME and
+BALANCER_LISTEN go before what it says. HUP reads all files again, USR1 logs the counters, TERM ends.
+
+  BALANCER_CONFIG=deploy/example.json yarrowbarrow --operators deploy/operator.conf`
+}
+
+func (s *serveCommand) Run(log *slog.Logger) error {
+	// First of all, as a signal that nothing waits for would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	read := func() (config.Config, error) { return config.FromEnvironment(s.Operators) }
+	cfg, err := read()
+	if err != nil {
+		log.Error("configuration", "why", err)
+		return errFindings
+	}
+	for _, w := range cfg.Warnings {
+		log.Warn("configuration", "says", w)
+	}
+	c := controller.New(cfg, log.With("name", cfg.Name))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	show := make(chan os.Signal, 1)
+	signal.Notify(show, syscall.SIGUSR1)
+	go func() {
+		for range show {
+			c.LogCounters()
+		}
+	}()
+	go func() {
+		for range reload {
+			_ = c.Reload(read) // which logs and counts what is wrong
+		}
+	}()
+	if err := c.Run(ctx); err != nil {
+		log.Error("ended", "why", err)
+		return errFindings
+	}
+	return nil
+}
--- a/config/config.go
+++ b/config/config.go
@@ -12,6 +12,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"yarrowbarrow/config/lang"
+	"yarrowbarrow/decide/route"
 )
 
 // Config is all that a controller is told at its start.
@@ -25,10 +28,14 @@
 	MemoryMB int64
 	Sockets  int // file descriptors
 	Settings Settings
+	// The operators' routes, of their file; nil without one.
+	Plan     *route.Plan
+	Warnings lang.Messages // of that file
 }
 
-// FromEnvironment reads the file that BALANCER_CONFIG names; BALANCER_NAME and BALANCER_LISTEN go before it.
-func FromEnvironment() (Config, error) {
+// FromEnvironment reads the file that BALANCER_CONFIG names; BALANCER_NAME and BALANCER_LISTEN go before it. The
+// operators' file is read and checked against it, where one is named.
+func FromEnvironment(operators string) (Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return Config{}, faulty("BALANCER_CONFIG", path, "the path of the configuration file")
@@ -37,7 +44,18 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	return Read(raw, os.Getenv("BALANCER_NAME"), os.Getenv("BALANCER_LISTEN"))
+	c, err := Read(raw, os.Getenv("BALANCER_NAME"), os.Getenv("BALANCER_LISTEN"))
+	if err == nil && operators != "" {
+		err = c.readOperators(operators)
+	}
+	return c, err
+}
+
+func (c *Config) readOperators(path string) error {
+	platform := c.Platform()
+	loaded := lang.Load(path, &platform)
+	c.Plan, c.Warnings = loaded.Plan, loaded.Messages
+	return loaded.Messages.Err()
 }
 
 // Read takes the file's text; a name and an address to listen on that are not empty go before the file's.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -55,7 +55,7 @@
 
 func TestFromEnvironment(t *testing.T) {
 	t.Setenv("BALANCER_CONFIG", "")
-	if _, err := FromEnvironment(); err == nil || !strings.HasPrefix(err.Error(), "BALANCER_CONFIG:") {
+	if _, err := FromEnvironment(""); err == nil || !strings.HasPrefix(err.Error(), "BALANCER_CONFIG:") {
 		t.Error(err)
 	}
 }
--- /dev/null
+++ b/config/platform.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"yarrowbarrow/config/lang"
+	"yarrowbarrow/decide/route"
+	"yarrowbarrow/internal/listing"
+	"yarrowbarrow/logic"
+)
+
+// Platform is what an operators' file can be checked against.
+func (c *Config) Platform() lang.Platform {
+	s := &c.Settings.Logic
+	p := lang.Platform{Fronts: []string{"framed"}}
+	locations := []logic.Location{s.Location}
+	for _, t := range s.Types {
+		p.Types = append(p.Types, lang.PlatformType{Name: string(t.Name), SLATime: t.SLATime, JobTimeout: t.JobTimeout,
+			Window: t.Window, Keyed: t.Repeat == logic.Keyed})
+		locations = append(locations, t.Locations...)
+	}
+	for _, e := range c.Engines() {
+		locations = append(locations, logic.Location(e.Location))
+	}
+	slices.Sort(locations)
+	for _, l := range slices.Compact(locations) {
+		if l != "" {
+			p.Locations = append(p.Locations, string(l))
+		}
+	}
+	for _, k := range s.Kinds {
+		p.Kinds = append(p.Kinds, string(k.Name))
+	}
+	for _, cust := range s.Customers {
+		p.Customers = append(p.Customers, string(cust.Name))
+	}
+	return p
+}
+
+// Engines are those that are known at the start, in the order of the list.
+func (c *Config) Engines() (engines []route.Engine) {
+	_, _, _ = listing.Read(json.RawMessage(c.Known), 0, func(whole bool) {
+		if whole {
+			engines = nil
+		}
+	}, func(id logic.EngineID, _ string, location logic.Location, kind logic.KindName, _ logic.Cell, state logic.Health,
+		_ float64, _ time.Duration) {
+		engines = slices.DeleteFunc(engines, func(e route.Engine) bool { return e.ID == route.EngineID(id) })
+		if state == logic.Up {
+			engines = append(engines, route.Engine{ID: route.EngineID(id), Location: string(location), Kind: string(kind)})
+		}
+	}, func() {})
+	return engines
+}
--- a/controller/clients.go
+++ b/controller/clients.go
@@ -184,7 +184,7 @@
 func (k *client) heard() { k.active, k.spoke = k.c.now, true }
 
 // fields of a job, as they came.
-type fields struct{ name, id, wait, once, cost, memory []byte }
+type fields struct{ name, id, wait, once, cost, memory, customer []byte }
 
 // read takes the fields that are known, each once; others are for later versions of the protocol.
 func (f *fields) read(payload []byte) (body []byte, err error) {
@@ -204,6 +204,8 @@
 			at = &f.cost
 		case "memory":
 			at = &f.memory
+		case "customer": // which only routes look at
+			at = &f.customer
 		default:
 			return
 		}
@@ -269,7 +271,7 @@
 	needMB, _ := number(f.memory, mostFigure)
 	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.TypeName(f.name), once: string(f.once),
 		statement: append([]byte(nil), body...), priority: 1}
-	tables := statement.Group(string(j.statement))
+	tables, customer := statement.Group(string(j.statement)), string(f.customer)
 	return func() {
 		k.heard()
 		switch {
@@ -295,8 +297,11 @@
 		j.expires = c.now + time.Duration(waitMS)*time.Millisecond - onTheWay
 		c.jobs[j.id] = j
 		c.bytes += int64(len(j.statement))
+		if !c.admitted(j, customer, costMS, needMB, tables) {
+			return
+		}
 		c.logic.JobTaken(c.now, j.id, j.name, "", "", j.expires, time.Duration(costMS*float64(time.Millisecond)),
-			needMB, logic.Tables(max(tables, 0)), false)
+			needMB, logic.Tables(max(tables, 0)), false, j.place)
 	}
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
+	"yarrowbarrow/decide/route"
 	"yarrowbarrow/logic"
 )
 
@@ -47,28 +48,31 @@
 	born  time.Time
 	ended chan error // one value ends Run
 
-	mu       sync.Mutex
-	now      time.Duration // Unix time at the start and what the monotonic clock added since
-	phase    Phase
-	logic    *logic.Controller
-	rng      *rand.Rand // for pauses between tries to reach the feed
-	jobs     map[logic.JobID]*job
-	clients  map[*client]bool
-	engines  map[logic.EngineID]*engine
-	probes   map[string]*probe
-	fences   map[string]*dispatch
-	links    int // connections to engines, dials among them
-	feed     *feed
-	timers   timers
-	timer    *time.Timer
-	queue    []func()
-	lines    []slog.Record
-	counts   [counters]int64
-	bytes    int64        // of statements and pages
-	held     atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
-	panics   []time.Duration
-	logged   time.Duration // when the counters last were
-	listener netpoll.EventLoop
+	reloading sync.Mutex // one Reload at a time
+	mu        sync.Mutex
+	now       time.Duration // Unix time at the start and what the monotonic clock added since
+	phase     Phase
+	logic     *logic.Controller
+	router    *route.Router // nil without an operators' file
+	plan      *route.Plan   // the newest
+	rng       *rand.Rand    // for pauses between tries to reach the feed
+	jobs      map[logic.JobID]*job
+	clients   map[*client]bool
+	engines   map[logic.EngineID]*engine
+	probes    map[string]*probe
+	fences    map[string]*dispatch
+	links     int // connections to engines, dials among them
+	feed      *feed
+	timers    timers
+	timer     *time.Timer
+	queue     []func()
+	lines     []slog.Record
+	counts    [counters]int64
+	bytes     int64        // of statements and pages
+	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
+	panics    []time.Duration
+	logged    time.Duration // when the counters last were
+	listener  netpoll.EventLoop
 }
 
 // New prepares a controller; Run starts it.
@@ -88,10 +92,15 @@
 	if err != nil {
 		return err
 	}
+	var table *route.Table
+	if c.cfg.Plan != nil {
+		table = route.NewTable(c.cfg.Plan, nil)
+	}
 	c.timer = time.NewTimer(time.Hour)
 	go c.keepTime()
 	c.do(func() {
 		c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
+		c.adopt(c.cfg.Plan, table)
 		if err = c.feed.remembered(c.cfg.Known); err != nil {
 			return
 		}
@@ -121,7 +130,19 @@
 // Reload takes a new configuration while serving. A faulty one changes nothing. The feed's address is followed at
 // once; the keys that only a restart can change are named in the log.
 func (c *Controller) Reload(read func() (config.Config, error)) error {
+	c.reloading.Lock()
+	defer c.reloading.Unlock()
 	next, err := read()
+	var table *route.Table
+	if err == nil && next.Plan != nil { // which takes too long to be made under the lock
+		var before *route.Table
+		c.do(func() {
+			if c.router != nil {
+				before = c.router.Table()
+			}
+		})
+		table = route.NewTable(next.Plan, before)
+	}
 	c.do(func() {
 		if err != nil {
 			c.counts[reloadsFailed]++
@@ -131,6 +152,7 @@
 		c.counts[reloads]++
 		c.note(slog.LevelInfo, "configuration taken", "feed", next.Feed, "after_restart", c.cfg.Differs(next))
 		c.feed.move(next.Feed)
+		c.adopt(next.Plan, table)
 	})
 	return err
 }
@@ -237,6 +259,11 @@
 		c.forget(j)
 	}
 	c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
+	if c.router != nil {
+		c.router = nil
+		c.adopt(c.plan, route.NewTable(c.plan, nil))
+		c.router.ListEnds(c.now)
+	}
 	c.logic.ListBegins(c.now, logic.ListRemembered)
 	for _, e := range c.engines {
 		c.logic.EngineListed(c.now, e.id, e.location, e.kind, e.cell, e.state, e.weight, e.since)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -187,6 +187,11 @@
 }
 
 func start(t *testing.T, permissions string, engines ...*standIn) *bed {
+	return startWith(t, permissions, nil, engines...)
+}
+
+// startWith changes the configuration first.
+func startWith(t *testing.T, permissions string, change func(*config.Config), engines ...*standIn) *bed {
 	b := &bed{t: t, list: newList(t), ended: make(chan error, 1)}
 	var hosts [][3]string
 	for n, e := range engines {
@@ -210,6 +215,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if change != nil {
+		change(&cfg)
+	}
 	b.c = New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -56,6 +56,8 @@
 	reloadsFailed
 	peerUnsaid
 	panicked
+	refusedByRoute
+	movedByRoute
 	counters
 )
 
@@ -65,7 +67,8 @@
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "pages_read", "faulty_answers", "stray_answers",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
-	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "reloads", "reloads_failed", "peer_unsaid", "panics"}
+	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "reloads", "reloads_failed", "peer_unsaid", "panics",
+	"refused_by_route", "moved_by_route"}
 
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
 
@@ -83,4 +86,5 @@
 	values = append(values, "open_jobs", len(c.jobs), "open_clients", len(c.clients), "open_links", c.links,
 		"held_bytes", c.bytes, "engines", len(c.engines), "alarms", len(c.timers))
 	c.note(slog.LevelInfo, "counters", values...)
+	c.logRoutes()
 }
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -78,13 +78,18 @@
 			listed[id] = true
 		}
 		c.engineListed(id, address, location, kind, cell, state, weight, since)
+		c.routesSee(c.engines[id])
 		c.logic.EngineListed(c.now, id, location, kind, cell, state, weight, since)
 	}, func() {
 		for id, e := range c.engines {
 			if listed != nil && !listed[id] {
 				e.state = logic.Gone
+				c.routesSee(e)
 			}
 		}
+		if c.router != nil {
+			c.router.ListEnds(c.now)
+		}
 		c.logic.ListEnds(c.now)
 	})
 	f.last = last
--- a/controller/host.go
+++ b/controller/host.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"yarrowbarrow/decide/route"
 	"yarrowbarrow/logic"
 )
 
@@ -21,6 +22,9 @@
 	j.sent++
 	j.out = d
 	c.counts[dispatched]++
+	if c.router != nil {
+		c.router.Dispatched(c.now, route.JobID(id))
+	}
 	if d.engine == nil {
 		d.engine = &engine{id: to}
 	}
@@ -85,4 +89,10 @@
 // TellPeer says nothing: this network gives controllers no way to talk to each other.
 func (h host) TellPeer(logic.PeerID, string) { h.c.counts[peerUnsaid]++ }
 
+func (h host) Suspects(id logic.EngineID, suspected bool) {
+	if r := h.c.router; r != nil {
+		h.c.later(func() { r.EngineSuspected(h.c.now, route.EngineID(id), suspected) })
+	}
+}
+
 func (h host) Log(line string) { h.c.note(slog.LevelInfo, "module", "says", line) }
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"yarrowbarrow/decide/route"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/logic"
 )
@@ -20,6 +21,7 @@
 	expires   time.Duration
 	memoryMB  int64
 	priority  int
+	place     logic.Placement // by the operators' routes, or nil
 	sent      int
 	out       *dispatch
 	last      *dispatch // that was on a connection: its id is not used there again
@@ -63,6 +65,8 @@
 	ended := j.client == nil
 	if ended {
 		c.forget(j)
+	} else if c.router != nil { // before the module, so that it does not send the job on to a pool that went down
+		c.router.DispatchOver(c.now, route.JobID(j.id))
 	}
 	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
@@ -153,6 +157,9 @@
 		delete(c.jobs, j.id)
 		c.bytes -= int64(len(j.statement))
 		j.statement = nil // as with pages
+		if c.router != nil {
+			c.router.JobOver(c.now, route.JobID(j.id))
+		}
 	}
 }
 
--- /dev/null
+++ b/decide/route/table.go
@@ -0,0 +1,510 @@
+package route
+
+import (
+	"cmp"
+	"hash/maphash"
+	"math"
+	"slices"
+	"unsafe"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+)
+
+// Table finds the route of a job without walking over all of them. Routes that look at the same fields stand in one
+// tree, which splits them by one field at a time: texts by the longest prefix that any pattern names, in a radix
+// tree, and figures by cuts. Parts of the trees that a later version has too are the same in memory.
+type Table struct {
+	groups  []group            // by the first route in them
+	known   map[uint64][]*node // by what they hold, for the next version
+	entries map[RouteName][]*entry
+	routes  map[RouteName]*Route
+	shared  int // nodes taken over from the version before
+	nodes   int
+}
+
+// group is the tree of all boxes that look at the same fields: in one tree with those that do not, each of these
+// would stand under each text that the others name.
+type group struct {
+	looks uint
+	first uint64 // least place of its entries
+	root  *node
+}
+
+// entry is one box of a route. Versions share the entries of routes that are alike and in the same order; the route
+// is the one of the version that first had it.
+type entry struct {
+	route *Route
+	box   *box   // nil: the whole match is to be asked, as it has too many boxes
+	place uint64 // in the order of routes
+	looks uint   // the fields by which the box can be found
+	tests []test
+}
+
+// test is a condition of a box on one field; fields without one hold every job.
+type test struct {
+	field Field
+	words []string // of a text that must be one of these
+	set   *textSet // any other condition on a text
+	least int64    // of a figure in one range
+	most  int64
+	more  []Range // its other ranges
+}
+
+func newEntry(r *Route, b *box, place uint64) *entry {
+	e := &entry{route: r, box: b, place: place}
+	if b == nil {
+		return e
+	}
+	for f := range b.texts {
+		set := &b.texts[f]
+		if set.done {
+			var words []string
+			for _, p := range set.any[0] {
+				word, _ := p.Literal()
+				words = append(words, word)
+			}
+			e.tests = append(e.tests, test{field: Field(f), words: words})
+		} else if len(set.any) > 0 || len(set.none) > 0 {
+			e.tests = append(e.tests, test{field: Field(f), set: set})
+		}
+		if set.done || !slices.Contains(e.prefixes(Field(f)), "") {
+			e.looks |= 1 << f
+		}
+	}
+	for f, r := range b.figures {
+		if field := Tables + Field(f); len(r) != 1 || r[0] != everyone.figures[f][0] {
+			e.looks |= 1 << field
+			e.tests = append(e.tests, test{field: field, least: r[0].From, most: r[0].To, more: r[1:]})
+		}
+	}
+	return e
+}
+
+var everyone = everything()
+
+func (e *entry) holds(j *Job) bool {
+	if e.box == nil {
+		return e.route.Match.Holds(j)
+	}
+	for n := range e.tests {
+		t := &e.tests[n]
+		switch {
+		case t.words != nil:
+			if !slices.Contains(t.words, j.text(t.field)) {
+				return false
+			}
+		case t.set != nil:
+			if !t.set.holds(j.text(t.field)) {
+				return false
+			}
+		default:
+			if x := j.figure(t.field); (x < t.least || x > t.most) && !within(t.more, x) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+type node struct {
+	field Field
+	texts *iradix.Tree[*node]
+	cuts  []int64 // kids[n] holds figures from cuts[n] on; cuts[0] is the least
+	kids  []*node
+	list  []*entry // of a leaf, in order
+	of    []*entry // all that it was made of
+	used  uint
+	key   uint64 // in known
+}
+
+// leafSize is how many entries are tried one by one: about the cost of two more steps down the tree.
+const leafSize = 6
+
+// NewTable compiles a plan. What it has in common with the version before, which may be nil, is shared.
+func NewTable(p *Plan, before *Table) *Table {
+	t := &Table{known: map[uint64][]*node{}, entries: make(map[RouteName][]*entry, len(p.Routes)),
+		routes: make(map[RouteName]*Route, len(p.Routes))}
+	kept := before.kept(p)
+	places, ok := between(kept)
+	if !ok { // no places left in between: all anew
+		clear(kept)
+		places, _ = between(kept)
+	}
+	by := map[uint][]*entry{}
+	for n, r := range p.Routes {
+		list := kept[n]
+		if list == nil {
+			if boxes, ok := r.Match.boxes(false); ok {
+				for m := range boxes {
+					list = append(list, newEntry(r, &boxes[m], places[n]))
+				}
+			} else {
+				list = []*entry{newEntry(r, nil, places[n])}
+			}
+		}
+		t.entries[r.Name], t.routes[r.Name] = list, r
+		for _, e := range list {
+			by[e.looks] = append(by[e.looks], e)
+		}
+	}
+	for looks, list := range by {
+		t.groups = append(t.groups, group{looks, list[0].place, t.build(list, ^looks, before)})
+	}
+	slices.SortFunc(t.groups, func(a, b group) int {
+		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.looks, b.looks))
+	})
+	return t
+}
+
+// kept lists, by the position in a new plan, the entries of routes that are alike and in the same order as before:
+// the longest such row of routes.
+func (t *Table) kept(p *Plan) [][]*entry {
+	out := make([][]*entry, len(p.Routes))
+	if t == nil {
+		return out
+	}
+	// The usual way to the longest rising row: ends[l] is the route at the least place that ends a row of l+1.
+	var ends []int
+	prior := make([]int, len(p.Routes))
+	place := func(n int) uint64 { return t.entries[p.Routes[n].Name][0].place }
+	for n, r := range p.Routes {
+		if old := t.routes[r.Name]; old == nil || !old.same(r) || len(t.entries[r.Name]) == 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(ends, place(n), func(m int, to uint64) int { return cmp.Compare(place(m), to) })
+		if prior[n] = -1; at > 0 {
+			prior[n] = ends[at-1]
+		}
+		if at == len(ends) {
+			ends = append(ends, n)
+		} else {
+			ends[at] = n
+		}
+	}
+	if len(ends) > 0 {
+		for n := ends[len(ends)-1]; n >= 0; n = prior[n] {
+			out[n] = t.entries[p.Routes[n].Name]
+		}
+	}
+	return out
+}
+
+// between gives new routes places between those that are kept; false where there is no room for them.
+func between(kept [][]*entry) (places []uint64, ok bool) {
+	places = make([]uint64, len(kept))
+	last := uint64(0)
+	for n := 0; n < len(kept); {
+		to := n
+		for to < len(kept) && kept[to] == nil {
+			to++
+		}
+		next := uint64(math.MaxUint64)
+		if to < len(kept) {
+			next = kept[to][0].place
+		}
+		step := min((next-last)/uint64(to-n+1), 1<<40)
+		if to > n && step == 0 {
+			return nil, false
+		}
+		for i := n; i < to; i++ {
+			last += step
+			places[i] = last
+		}
+		last, n = next, to+1
+	}
+	return places, true
+}
+
+// same tells that two routes match and act alike.
+func (r *Route) same(o *Route) bool {
+	if r.Name != o.Name || r.Policy != o.Policy || len(r.Pools) != len(o.Pools) || !r.Match.same(o.Match) {
+		return false
+	}
+	for n, p := range r.Pools {
+		if !p.same(o.Pools[n]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Match) same(o *Match) bool {
+	if m == nil || o == nil {
+		return m == o
+	}
+	return m.Op == o.Op && m.Field == o.Field && slices.Equal(m.Texts, o.Texts) && slices.Equal(m.Ranges, o.Ranges) &&
+		slices.EqualFunc(m.Of, o.Of, (*Match).same)
+}
+
+func (p *Pool) same(o *Pool) bool {
+	members := func(a, b Members) bool {
+		return slices.Equal(a.IDs, b.IDs) && slices.Equal(a.Locations, b.Locations) && slices.Equal(a.Kinds, b.Kinds)
+	}
+	return p == o || p.Name == o.Name && p.MinCount == o.MinCount && p.MinShare == o.MinShare && p.Size == o.Size &&
+		p.Overflow == o.Overflow && p.OverflowAfter == o.OverflowAfter &&
+		slices.EqualFunc(p.Any, o.Any, func(a, b []Members) bool { return slices.EqualFunc(a, b, members) })
+}
+
+var hashSeed = maphash.MakeSeed()
+
+func (t *Table) build(list []*entry, used uint, before *Table) *node {
+	var h maphash.Hash
+	h.SetSeed(hashSeed)
+	for _, e := range list {
+		maphash.WriteComparable(&h, e)
+	}
+	maphash.WriteComparable(&h, used)
+	key := h.Sum64()
+	alike := func(n *node) bool { return n.used == used && slices.Equal(n.of, list) }
+	if n := slices.IndexFunc(t.known[key], alike); n >= 0 {
+		return t.known[key][n]
+	}
+	if before != nil {
+		if n := slices.IndexFunc(before.known[key], alike); n >= 0 {
+			t.takeOver(before.known[key][n], before)
+			return before.known[key][n]
+		}
+	}
+	n := &node{of: list, used: used, key: key}
+	t.known[key] = append(t.known[key], n)
+	t.nodes++
+	if len(list) <= leafSize || !t.split(n, before) {
+		n.list = list
+	}
+	return n
+}
+
+// takeOver makes a shared part known to this version too, for the next one.
+func (t *Table) takeOver(n *node, before *Table) {
+	if slices.Contains(t.known[n.key], n) {
+		return
+	}
+	t.known[n.key] = append(t.known[n.key], n)
+	t.nodes++
+	t.shared++
+	for _, kid := range n.kids {
+		t.takeOver(kid, before)
+	}
+	if n.texts != nil {
+		n.texts.Root().Walk(func(_ []byte, kid *node) bool { t.takeOver(kid, before); return false })
+	}
+}
+
+// split divides a node by the field that leaves the least to try one by one.
+func (t *Table) split(n *node, before *Table) bool {
+	best, least := -1, len(n.of)
+	var texts map[string][]*entry
+	var cuts []int64
+	var kids [][]*entry
+	for f := range fields {
+		if n.used&(1<<f) != 0 {
+			continue
+		}
+		if f.isText() {
+			if parts := byPrefix(n.of, f); parts != nil {
+				if most := mostOf(parts); most < least {
+					best, least, texts = int(f), most, parts
+				}
+			}
+		} else if c, k := byCuts(n.of, f); k != nil {
+			most := 0
+			for _, kid := range k {
+				most = max(most, len(kid))
+			}
+			if most < least {
+				best, least, cuts, kids = int(f), most, c, k
+			}
+		}
+	}
+	if best < 0 || least > len(n.of)*9/10 {
+		return false
+	}
+	n.field = Field(best)
+	used := n.used | 1<<best
+	if !n.field.isText() {
+		n.cuts = cuts
+		for _, kid := range kids {
+			n.kids = append(n.kids, t.build(kid, used, before))
+		}
+		return true
+	}
+	tx := iradix.New[*node]().Txn()
+	for _, key := range sortedKeys(texts) {
+		tx.Insert([]byte(key), t.build(texts[key], used, before))
+	}
+	n.texts = tx.Commit()
+	return true
+}
+
+func mostOf(parts map[string][]*entry) (most int) {
+	for _, list := range parts {
+		most = max(most, len(list))
+	}
+	return most
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// prefixes are what the texts that a box allows in a field begin with: one of them each.
+func (e *entry) prefixes(f Field) []string {
+	if e.box == nil || len(e.box.texts[f].any) == 0 {
+		return []string{""}
+	}
+	var out []string
+	for _, p := range e.box.texts[f].any[0] {
+		out = append(out, p.prefix())
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// mostRoom bounds how often entries may stand in a tree, as those that name no text of a field stand under each that
+// is named.
+func mostRoom(entries int) int { return 16*entries + 4096 }
+
+// byPrefix lists, for each prefix that is named, the entries that a text with this longest prefix may meet.
+func byPrefix(list []*entry, f Field) map[string][]*entry {
+	parts := map[string][]*entry{"": nil}
+	for _, e := range list {
+		for _, prefix := range e.prefixes(f) {
+			own := parts[prefix]
+			if n := len(own); n == 0 || own[n-1] != e {
+				parts[prefix] = append(own, e)
+			}
+		}
+	}
+	if len(parts) == 1 {
+		return nil
+	}
+	// A text meets what is under its longest prefix and under all shorter ones.
+	keys := sortedKeys(parts)
+	room := mostRoom(len(list))
+	out := make(map[string][]*entry, len(parts))
+	var over []string // prefixes of the key at hand
+	for _, key := range keys {
+		for len(over) > 0 && !hasPrefix(key, over[len(over)-1]) {
+			over = over[:len(over)-1]
+		}
+		own := parts[key]
+		if len(over) > 0 {
+			own = slices.Concat(out[over[len(over)-1]], own)
+			slices.SortStableFunc(own, func(a, b *entry) int { return cmp.Compare(a.place, b.place) })
+		}
+		if room -= len(own); room < 0 {
+			return nil
+		}
+		out[key] = own
+		over = append(over, key)
+	}
+	return out
+}
+
+func hasPrefix(s, prefix string) bool { return len(s) >= len(prefix) && s[:len(prefix)] == prefix }
+
+// byCuts lists, for each span between the figures where some box begins or ends, the entries that it may meet. Where
+// that takes too much room, only some of the figures are used.
+func byCuts(list []*entry, f Field) (cuts []int64, kids [][]*entry) {
+	for _, e := range list {
+		if e.box == nil {
+			continue
+		}
+		for _, r := range e.box.figures[f-Tables] {
+			cuts = append(cuts, r.From)
+			if r.To < math.MaxInt64 {
+				cuts = append(cuts, r.To+1)
+			}
+		}
+	}
+	cuts = append(cuts, Untold)
+	slices.Sort(cuts)
+	cuts = slices.Compact(cuts)
+	for {
+		if len(cuts) < 2 {
+			return nil, nil
+		}
+		if kids = fill(cuts, list, f); kids != nil {
+			return cuts, kids
+		}
+		for n := range (len(cuts) + 1) / 2 { // each second one
+			cuts[n] = cuts[2*n]
+		}
+		cuts = cuts[:(len(cuts)+1)/2]
+	}
+}
+
+func fill(cuts []int64, list []*entry, f Field) [][]*entry {
+	kids := make([][]*entry, len(cuts))
+	room := mostRoom(len(list))
+	for _, e := range list {
+		ranges := whole
+		if e.box != nil {
+			ranges = e.box.figures[f-Tables]
+		}
+		for _, r := range ranges {
+			for n := place(cuts, r.From); n < len(cuts) && cuts[n] <= r.To; n++ {
+				if own := kids[n]; len(own) == 0 || own[len(own)-1] != e {
+					kids[n] = append(own, e)
+					if room--; room < 0 {
+						return nil
+					}
+				}
+			}
+		}
+	}
+	return kids
+}
+
+// place is the span that a figure is in.
+func place(cuts []int64, figure int64) int {
+	n, found := slices.BinarySearch(cuts, figure)
+	if !found {
+		n--
+	}
+	return max(n, 0)
+}
+
+// Find gives the first route that takes a job, or nil. It allocates nothing. After a change of versions it may be an
+// equal route of an earlier one.
+func (t *Table) Find(j *Job) *Route {
+	var best *entry
+	for n := range t.groups {
+		g := &t.groups[n]
+		if best != nil && best.place < g.first {
+			break
+		}
+		if e := g.root.find(j); e != nil && (best == nil || e.place < best.place) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.route
+}
+
+func (n *node) find(j *Job) *entry {
+	for n.list == nil {
+		switch {
+		case n.texts != nil:
+			text := j.text(n.field)
+			_, n, _ = n.texts.Root().LongestPrefix(unsafe.Slice(unsafe.StringData(text), len(text)))
+		case n.kids != nil:
+			n = n.kids[place(n.cuts, j.figure(n.field))]
+		default:
+			return nil // what is empty
+		}
+	}
+	for _, e := range n.list {
+		if e.holds(j) {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -75,6 +75,7 @@
 func (i *instance) Probe(engine logic.EngineID)                  { i.say("sound_out", engine) }
 func (i *instance) CloseIdle(engine logic.EngineID)              { i.say("free_links", engine) }
 func (i *instance) TellPeer(peer logic.PeerID, message string)   { i.say("share", peer, message) }
+func (i *instance) Suspects(logic.EngineID, bool)                {}
 func (i *instance) Log(line string)                              { i.say("print", line) }
 
 // process hosts many instances; they share nothing but the pipe and the numbered lists of the wire.
@@ -250,7 +251,7 @@
 		if flags&1 == 0 {
 			cost = 0
 		}
-		call = func() { i.logic.JobTaken(now, j, t, customer, key, expires, cost, memory, tables, flags&2 != 0) }
+		call = func() { i.logic.JobTaken(now, j, t, customer, key, expires, cost, memory, tables, flags&2 != 0, nil) }
 	case "timed_out_client":
 		j := job()
 		call = func() { i.logic.ClientGone(now, j) }
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -44,6 +44,7 @@
 func (h *bench) Probe(e EngineID)                      { h.say("probe %s", e) }
 func (h *bench) CloseIdle(e EngineID)                  { h.say("close idle %s", e) }
 func (h *bench) TellPeer(p PeerID, m string)           { h.say("tell %d %s", p, m) }
+func (h *bench) Suspects(EngineID, bool)               {}
 func (h *bench) Log(line string)                       { h.say("log: %s", line) }
 
 func (h *bench) start(change func(*Settings)) {
@@ -81,7 +82,7 @@
 
 func (h *bench) take(id JobID, name TypeName, key Key, left time.Duration) {
 	h.say("- %s taken (%s)", id, name)
-	h.c.JobTaken(h.now, id, name, "", key, h.now+left, 0, 0, 1, false)
+	h.c.JobTaken(h.now, id, name, "", key, h.now+left, 0, 0, 1, false, nil)
 }
 
 func (h *bench) over(id JobID, n int, e EngineID, o Outcome) {
--- a/logic/host.go
+++ b/logic/host.go
@@ -33,9 +33,20 @@
 	Probe(engine EngineID)
 	CloseIdle(engine EngineID)
 	TellPeer(peer PeerID, message string)
+	Suspects(engine EngineID, suspected bool)
 	Log(line string)
 }
 
+// Placement narrows a job's engines beyond what the rules allow, never widens them. Values are compared: jobs of an
+// equal one wait for room behind one another, not behind those of another.
+type Placement interface {
+	Allows(engine EngineID) bool // among its engines
+	Room() bool                  // a job may leave now
+	// Further tells whether a job may go again, by the time since the first of its dispatches that may have run, or
+	// 0, and since the last was over.
+	Further(first, since time.Duration) bool
+}
+
 type Outcome int
 
 const (
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,9 @@
 	slack        time.Duration
 	cost, memory float64 // as told, in ns and MB, or 0
 	tables       Tables
-	over         bool        // beyond its customer's share
+	over         bool      // beyond its customer's share
+	place        Placement // narrows its engines, or nil
+	freed        time.Duration
 	ended        bool        // its final answer is given, or the client left
 	maybeRan     []*dispatch // dispatches that are out or may have run
 	out          *dispatch
@@ -176,6 +178,7 @@
 	if since > e.since || (e.state != Up && health == Up) {
 		// Started anew: what was learned of the process is void, and a start is as good as a trial.
 		e.since = max(since, e.since)
+		c.host.Suspects(e.id, false)
 		e.suspected, e.errors, e.wait = false, 0, 0
 		c.startBound(e)
 	}
@@ -206,7 +209,7 @@
 }
 
 func (c *Controller) JobTaken(now time.Duration, id JobID, name TypeName, cust CustomerID, key Key,
-	expires, cost time.Duration, memory float64, tables Tables, repeat bool) {
+	expires, cost time.Duration, memory float64, tables Tables, repeat bool, place Placement) {
 	c.now = now
 	r := c.byName[name]
 	if r == nil { // not in the settings: promise nothing
@@ -214,7 +217,7 @@
 	}
 	c.seq++
 	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
-		d: min(now+r.JobTimeout, expires)}
+		d: min(now+r.JobTimeout, expires), place: place}
 	c.jobs[id] = j
 	if c.set.BudgetWindow > 0 {
 		c.budgetAllows() // which forgets what is past the window
@@ -330,12 +333,16 @@
 	}
 	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
-		var barred []*row // from all engines, so that no other job of the type is tried
+		var barred [][2]any  // from all engines, so that no other job of the type and placement is tried
+		var full []Placement // that a job before waits for
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
-			if fresh := j.line == nil && j.sent == 0; fresh && slices.Contains(barred, j.row) {
+			fresh := j.line == nil && j.sent == 0
+			if fresh && slices.Contains(barred, [2]any{j.row, j.place}) || slices.Contains(full, j.place) {
 				return false
 			} else if to, waits = c.choose(j); fresh && to == nil && !waits {
-				barred = append(barred, j.row)
+				barred = append(barred, [2]any{j.row, j.place})
+			} else if to == nil && waits && j.place != nil && c.roomFor(j.row.Threads) {
+				full, waits = append(full, j.place), false // others' engines may have room
 			}
 			return to != nil || waits
 		})
@@ -411,7 +418,7 @@
 	c.deal()
 	for _, e := range c.engines {
 		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
-			waits = waits && e.state != Up
+			waits = waits && (e.state != Up || !j.placed(e))
 			continue
 		}
 		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != RunOnce
@@ -450,9 +457,20 @@
 	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
 		return false
 	}
-	return j.sent == 0 || j.sent < c.set.MaxDispatches && c.budgetAllows()
+	return (j.place == nil || j.place.Room()) && (j.sent == 0 || j.sent < c.set.MaxDispatches && c.mayRepeat(j))
 }
 
+// mayRepeat keeps rule 7, and what the job's placement adds to it.
+func (c *Controller) mayRepeat(j *job) bool {
+	first := c.now
+	if len(j.maybeRan) > 0 {
+		first = j.maybeRan[0].sent
+	}
+	return c.budgetAllows() && (j.place == nil || j.place.Further(c.now-first, c.now-j.freed))
+}
+
+func (j *job) placed(e *engine) bool { return j.place == nil || j.place.Allows(e.id) }
+
 // budgetAllows keeps rule 7.
 func (c *Controller) budgetAllows() bool {
 	if c.set.BudgetWindow == 0 {
@@ -468,7 +486,7 @@
 // mayGoTo keeps rules 2, 3 and 6 for a dispatch to one engine.
 func (c *Controller) mayGoTo(j *job, e *engine) bool {
 	if e.state != Up || len(j.row.Locations) > 0 && !slices.Contains(j.row.Locations, e.location) ||
-		len(j.row.Kinds) > 0 && !slices.Contains(j.row.Kinds, e.kind) {
+		len(j.row.Kinds) > 0 && !slices.Contains(j.row.Kinds, e.kind) || !j.placed(e) {
 		return false
 	}
 	for _, ran := range j.maybeRan {
@@ -564,7 +582,7 @@
 		return
 	}
 	d, e := j.out, j.out.engine
-	j.out = nil
+	j.out, j.freed = nil, now
 	e.out = without(e.out, j)
 	e.threads -= j.row.Threads
 	if o == TurnedAway || o == NoConnection || o == NotSent { // proves that it never ran
@@ -607,6 +625,7 @@
 		e.answered, e.silent, e.errors = c.now, 0, e.errors*0.8
 		if e.suspected {
 			e.suspected, e.wait, e.errors = false, 0, 0
+			c.host.Suspects(e.id, false)
 			c.host.Log(fmt.Sprintf("engine %s answers again", e.id))
 		}
 	case Errored, ConnectionLost:
@@ -631,6 +650,7 @@
 // suspect takes an engine out of choice but for one trial job after each of growing waits.
 func (c *Controller) suspect(e *engine, why string) {
 	if !e.suspected {
+		c.host.Suspects(e.id, true)
 		c.host.Log(fmt.Sprintf("engine %s suspected: %s", e.id, why))
 		e.wait = 250 * time.Millisecond
 	} else if c.now < e.trial-e.wait/2 && len(e.out) > 0 {
@@ -673,7 +693,7 @@
 }
 
 // fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
-// and not thrashing, at 1.5 all; with no cost told the best mean is a lucky one and lies lower. Least, an even
+// and not thrashing, at 1.5 all; with no cost told the best mean is lucky and lies lower. Least, an even
 // share of the cores, guards against starving beside controllers that stay wide; most is two threads a core.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
 	const least, most = 1.0, 2.0
@@ -732,6 +752,17 @@
 	}
 }
 
+// Placed narrows a job's engines anew. One that can go to none any more is answered at once.
+func (c *Controller) Placed(now time.Duration, id JobID, place Placement, none bool) {
+	if j := c.jobs[id]; j != nil {
+		c.now, j.place = now, place
+		if j.out == nil && !j.ended && (none || len(j.maybeRan) > 0 && !c.couldGo(j)) {
+			c.end(j)
+		}
+		c.release()
+	}
+}
+
 func (c *Controller) ClientGone(now time.Duration, id JobID) {
 	c.now = now
 	if j := c.jobs[id]; j != nil {
@@ -778,7 +809,7 @@
 	}
 	for _, e := range c.engines {
 		for _, j := range e.out {
-			if !j.ended && c.stuck(j) && c.couldGo(j) && c.budgetAllows() {
+			if !j.ended && c.stuck(j) && c.couldGo(j) && c.mayRepeat(j) {
 				c.recall(j)
 			}
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -154,7 +154,7 @@
 		h.start(func(s *Settings) { s.Types[0].SLATime = 400 * ms })
 		h.up("a", "b")
 		for _, id := range []JobID{"known", "1", "2", "3", "4"} {
-			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+3*time.Second, 20*ms, 0, 1, false)
+			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+3*time.Second, 20*ms, 0, 1, false, nil)
 			if at := h.c.jobs[id].out.engine.id; id != "known" {
 				h.after(340 * ms)
 				h.over(id, 0, at, Recalled)
@@ -199,7 +199,7 @@
 		for _, full := range []float64{0.5, 3} {
 			for i := range 20 {
 				id := JobID(fmt.Sprint("j", i))
-				h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 100*ms, 0, 1, false)
+				h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 100*ms, 0, 1, false, nil)
 				h.c.DispatchOver(h.now, id, 0, "a", Done, 100*ms, true, 0, 0, Load{MemoryGranted: full})
 			}
 			seen[full] = h.c.byID["a"].bound > 5
@@ -213,7 +213,7 @@
 		h.learn("a", 40)
 		for i := range 200 { // slow for others' jobs, so that a narrower bound here would not help
 			id := JobID(fmt.Sprint("j", i))
-			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 0, 0, 1, false)
+			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 0, 0, 1, false, nil)
 			h.c.DispatchOver(h.now, id, 0, "a", Done, 800*ms, true, 0, 0, Load{})
 		}
 		h.trace.Reset()
