--- a/config/lang/check.go
+++ b/config/lang/check.go
@@ -57,6 +57,11 @@
 func Load(path string, platform *Platform) *Config {
 	l := &loader{}
 	l.load(path)
+	return l.checked(platform)
+}
+
+// checked checks what was read.
+func (l *loader) checked(platform *Platform) *Config {
 	c := &checker{loader: l, platform: platform, settings: map[*section]map[string]*setting{},
 		named: map[string]map[string]*section{}, pools: map[string]*route.Pool{}, policies: map[string]*route.Policy{}}
 	c.check()
@@ -223,7 +228,7 @@
 		v.match = m
 		return v
 	}
-	if e.node.Entry == nil { // the grammar knows match as a key of its own
+	if e.node.Entry == nil { // match, which the grammar knows as a key of its own
 		return nil
 	}
 	values := e.node.Entry.Values
@@ -475,7 +480,7 @@
 
 // faulty tells that a section has one of some keys, though nothing could be read from it.
 func (c *checker) faulty(s *section, keys ...string) bool {
-	return slices.ContainsFunc(s.entries, func(e *entry) bool {
+	return s.faulty || slices.ContainsFunc(s.entries, func(e *entry) bool {
 		return slices.Contains(keys, e.key) && c.settings[s][e.key] == nil
 	})
 }
--- a/config/lang/format.go
+++ b/config/lang/format.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"strings"
 	"unicode/utf8"
 )
@@ -138,14 +137,11 @@
 	return f.Text
 }
 
-// keywords would be taken for something else without quotes.
-var keywords = []string{"and", "or", "not", "in", "all"}
-
 // bare leaves the quotes off a word that is read the same without them.
 func bare(word string) string {
 	tokens := &scanner{text: word}
 	token, err := tokens.Next()
-	if err != nil || token.Type != wordToken || token.Value != word || slices.Contains(keywords, word) {
+	if err != nil || token.Type != wordToken || token.Value != word {
 		return quoted(word)
 	}
 	if _, comment := cutComment(word); comment != "" {
--- a/config/lang/grammar.go
+++ b/config/lang/grammar.go
@@ -91,6 +91,10 @@
 			Wanted: fmt.Sprintf("at most %d of them within one another", mostNesting)}
 	}
 	node, err := grammar().ParseString("", code)
+	if err == nil && node.Entry != nil && node.Entry.Key == "match" { // which is no list of values
+		return nil, &Message{Col: node.Entry.Values[0].Pos.Column, What: shown(formatValue(node)) + " is no match",
+			Wanted: wantedOf(code)}
+	}
 	if err == nil {
 		return node, nil
 	}
@@ -103,7 +107,11 @@
 	case errors.As(err, &unexpected):
 		what := "the line ends too early"
 		if !unexpected.Unexpected.EOF() {
-			what = fmt.Sprintf("%q does not belong here", unexpected.Unexpected.Value)
+			what = shown(unexpected.Unexpected.Value) + " does not belong here"
+			if behindFigure(code, unexpected.Position().Offset) && unitNamed(unexpected.Unexpected.Value) != nil {
+				return nil, &Message{Col: unexpected.Position().Column, What: fmt.Sprintf("a space before the unit %q",
+					unexpected.Unexpected.Value), Wanted: "the unit right behind its number"}
+			}
 		}
 		return nil, &Message{Col: unexpected.Position().Column, What: what, Wanted: wantedOf(code)}
 	case errors.As(err, &other):
@@ -112,6 +120,20 @@
 	return nil, &Message{Col: 1, What: err.Error(), Wanted: wantedOf(code)}
 }
 
+// shown is a text of the file in a message, in quotes once.
+func shown(text string) string {
+	if strings.HasPrefix(text, `"`) {
+		return text
+	}
+	return `"` + text + `"`
+}
+
+// behindFigure tells that only spaces are between a place and a number before it.
+func behindFigure(code string, at int) bool {
+	before := strings.TrimRight(code[:min(at, len(code))], " \t")
+	return before != "" && before[len(before)-1] >= '0' && before[len(before)-1] <= '9'
+}
+
 // tooDeep guards the stack against lines that are nothing but parentheses.
 func tooDeep(code string) (col int) {
 	depth, nots := 0, 0
--- /dev/null
+++ b/config/lang/lang_test.go
@@ -0,0 +1,224 @@
+package lang
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+)
+
+var update = flag.Bool("update", false, "write the expected messages anew, to be read before they are kept")
+
+// TestMain gives the property tests the same seed in each run; -rapid.seed looks further.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// testPlatform is what the kept files are checked against.
+var testPlatform = &Platform{
+	Types: []PlatformType{
+		{Name: "lookup", SLATime: time.Second, JobTimeout: 5 * time.Second},
+		{Name: "load", SLATime: 3 * time.Second, JobTimeout: 20 * time.Second, Window: 12 * time.Second, Keyed: true},
+	},
+	Locations: []string{"east", "west"}, Kinds: []string{"std", "big"}, Customers: []string{"censo-norte", "inegi"},
+	Fronts: []string{"framed"},
+}
+
+// inside makes a directory of files the working one, so that messages name short paths.
+func inside(t *testing.T, files []txtar.File) {
+	t.Helper()
+	t.Chdir(t.TempDir())
+	for _, f := range files {
+		if err := os.MkdirAll(filepath.Dir(f.Name), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(f.Name, f.Data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestBroken: each file is rejected, or warned of, with the messages kept beside it, which name file and line.
+func TestBroken(t *testing.T) {
+	archives, err := filepath.Glob("testdata/broken/*.txtar")
+	if err != nil || len(archives) < 150 {
+		t.Fatal(len(archives), " files", err)
+	}
+	for _, path := range archives {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txtar"), func(t *testing.T) {
+			path, _ := filepath.Abs(path)
+			a, err := txtar.ParseFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			files, want := a.Files, ""
+			if last := len(files) - 1; files[last].Name == "messages" {
+				files, want = files[:last], string(files[last].Data)
+			}
+			inside(t, files)
+			c := Load("operator.conf", testPlatform)
+			var got bytes.Buffer
+			if err := c.Messages.Print(&got); err != nil {
+				t.Fatal(err)
+			}
+			if *update {
+				a.Files = append(files, txtar.File{Name: "messages", Data: got.Bytes()})
+				if err := os.WriteFile(path, txtar.Format(a), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			} else if d := cmp.Diff(want, got.String()); d != "" {
+				t.Error(d)
+			}
+			warns := strings.HasPrefix(filepath.Base(path), "warn-") || filepath.Base(path) == "platform-location.txtar"
+			if len(c.Messages) == 0 || (c.Plan == nil) == warns || (c.Messages.Errors() > 0) == warns {
+				t.Errorf("plan %v, %d errors of %d messages", c.Plan != nil, c.Messages.Errors(), len(c.Messages))
+			}
+		})
+	}
+}
+
+// TestBytes: files that no text file can hold, each with a message that names the line.
+func TestBytes(t *testing.T) {
+	const good = "[pool \"a\"]\nid = *\n[route \"r\"]\npool = a\n"
+	for _, c := range []struct{ name, text, want string }{
+		{"CRLF", strings.ReplaceAll(good, "\n", "\r\n"), ""},
+		{"BOM", "\ufeff" + good, ""},
+		{"no end of line", strings.TrimSuffix(good, "\n"), ""},
+		{"empty", "", ""},
+		{"BOM inside", good + "\ufeff[pool \"b\"]\n", `operator.conf:5:1: error: character '\ufeff' does not belong here`},
+		{"NUL", good + "id\x00 = a\n", `operator.conf:5:3: error: control character '\x00'`},
+		{"escape", good + "# \x1b[31m\n", `operator.conf:5:3: error: control character '\x1b'`},
+		{"lone CR", "[pool \"a\"]\rid = *\n", `operator.conf:1:11: error: control character '\r'`},
+		{"invalid UTF-8", good + "# ñ\xff\n", "operator.conf:5:4: error: bytes that are no UTF-8"},
+		{"UTF-16", "\xff\xfe[\x00p\x00", "operator.conf:1:1: error: bytes that are no UTF-8"},
+		{"line of 1 MB", good + "# " + strings.Repeat("x", 1<<20) + "\n", "operator.conf:5:1: error: a line of 1048578 bytes"},
+		{"list of 1 MB", "[pool \"a\"]\nid = e1" + strings.Repeat(", e", 1<<18) + "\n", "operator.conf:2:1: error: a line of "},
+		{"parentheses", "[route \"r\"]\nmatch = " + strings.Repeat("(", 10_000) + "\n", "operator.conf:2:59: error: parentheses and nots go too deep"},
+		{"nots", "[route \"r\"]\nmatch = " + strings.Repeat("not ", 3000) + "all\n", "error: parentheses and nots go too deep"},
+		{"text behind the end", good + strings.Repeat("\n", 1000) + "x\n", "operator.conf:1005:2: error: the line ends too early"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inside(t, []txtar.File{{Name: "operator.conf", Data: []byte(c.text)}})
+			messages := Load("operator.conf", nil).Messages
+			if c.want == "" && len(messages) > 0 || c.want != "" && (len(messages) == 0 ||
+				!strings.Contains(messages[0].String(), c.want)) {
+				t.Error(messages)
+			}
+			for _, m := range messages {
+				if len(m.String()) > 1000 {
+					t.Error("a message of ", len(m.String()), " bytes")
+				}
+			}
+		})
+	}
+}
+
+// TestLarge: 100 MB and 100,000 sections are told apart from what can be read, in little time and memory.
+func TestLarge(t *testing.T) {
+	t.Chdir(t.TempDir())
+	f, err := os.Create("operator.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Truncate(100 << 20); err != nil { // a sparse file
+		t.Fatal(err)
+	}
+	f.Close()
+	if got := Load("operator.conf", nil).Messages; len(got) != 1 ||
+		got[0].String() != "operator.conf:1:1: error: can't be read: it is too large: all files together may have 16 MB; wanted: a readable file" {
+		t.Error(got)
+	}
+	var b strings.Builder
+	for n := range 100_000 {
+		fmt.Fprintf(&b, "[pool \"p%d\"]\nid=e%d\n", n, n)
+	}
+	if err := os.WriteFile("operator.conf", []byte(b.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := Load("operator.conf", nil).Messages; len(got) == 0 || len(got) > mostMessages+1 ||
+		!strings.Contains(got[0].String(), "operator.conf:100001:1: error: more than 50000 sections") {
+		t.Error(len(got), got[0])
+	}
+}
+
+// TestFiles: includes that the file system makes difficult.
+func TestFiles(t *testing.T) {
+	files := []txtar.File{{Name: "top/operator.conf", Data: []byte("include = \"rooms/*.conf\"\n")},
+		{Name: "top/rooms/a.conf", Data: []byte("[team \"a\"]\nshare = 5%\n")}, {Name: "secret.conf", Data: []byte("[pool \"x\"]\n")}}
+	expect := func(want string) {
+		t.Helper()
+		got := Load("top/operator.conf", nil).Messages
+		if want == "" && len(got) > 0 || want != "" && (len(got) == 0 || !strings.Contains(got[0].String(), want)) {
+			t.Error(got, "; wanted ", want)
+		}
+	}
+	link := func(to, at string) {
+		t.Helper()
+		if err := os.Symlink(to, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inside(t, files)
+	expect("")
+	link("../../secret.conf", "top/rooms/b.conf")
+	expect(`top/operator.conf:1:11: error: include "top/rooms/b.conf" leads out of the top directory`)
+	os.Remove("top/rooms/b.conf")
+	link("a.conf", "top/rooms/c.conf") // the same file by another name is read once
+	expect("")
+	link("d.conf", "top/rooms/d.conf")
+	expect(`include "top/rooms/d.conf": `)
+	os.Remove("top/rooms/d.conf")
+	link("/dev/zero", "top/zero.conf")
+	if err := os.WriteFile("top/operator.conf", []byte("include = zero.conf\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	expect("leads out of the top directory")
+	if err := os.WriteFile("top/operator.conf", []byte("include = \"f.conf\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile("top/f.conf", nil, 0o000); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.ReadFile("top/f.conf"); err != nil { // not for a superuser, who may read everything
+		expect(`top/operator.conf:1:11: error: include "top/f.conf": permission denied`)
+	}
+	// A chain that is too deep, and a diamond that is fine.
+	for n := range 20 {
+		text := fmt.Sprintf("include = \"deep%d.conf\"\n", n+1)
+		if err := os.WriteFile(fmt.Sprintf("top/deep%d.conf", n), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile("top/operator.conf", []byte("include = deep0.conf\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	expect("top/deep14.conf:1:11: error: include \"top/deep15.conf\": includes go deeper than 16 files")
+	for name, text := range map[string]string{"operator": "include = l.conf, r.conf\n", "l": "include = both.conf\n",
+		"r": "include = both.conf\n", "both": "[team \"a\"]\nshare = 5%\n"} {
+		if err := os.WriteFile("top/"+name+".conf", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect("")
+	if got := Load("nowhere/operator.conf", nil).Messages; len(got) != 1 || !strings.Contains(got[0].String(), "no such file") {
+		t.Error(got)
+	}
+}
+
+func memory() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/config/lang/lexer.go
+++ b/config/lang/lexer.go
@@ -12,10 +12,11 @@
 
 // The kinds of tokens of a line.
 const (
-	wordToken   lexer.TokenType = iota + 1 // a bare word, which may hold wildcards
-	stringToken                            // in quotes, as it stands in the file
-	figureToken                            // a number with what hangs on it: 12ms, 50/s, 20%, 2core-s
-	markToken                              // = != < <= > >= ( ) [ ] , ..
+	wordToken    lexer.TokenType = iota + 1 // a bare word, which may hold wildcards
+	stringToken                             // in quotes, as it stands in the file
+	figureToken                             // a number with what hangs on it: 12ms, 50/s, 20%, 2core-s
+	markToken                               // = != < <= > >= ( ) [ ] , ..
+	keywordToken                            // and or not in
 )
 
 // words is the lexer of one line, without its comment.
@@ -23,7 +24,7 @@
 
 func (words) Symbols() map[string]lexer.TokenType {
 	return map[string]lexer.TokenType{"EOF": lexer.EOF, "Word": wordToken, "String": stringToken,
-		"Figure": figureToken, "Mark": markToken}
+		"Figure": figureToken, "Mark": markToken, "Keyword": keywordToken}
 }
 
 func (w words) Lex(name string, r io.Reader) (lexer.Lexer, error) {
@@ -112,6 +113,10 @@
 			}
 			size += width
 		}
+		switch rest[:size] {
+		case "and", "or", "not", "in":
+			return take(keywordToken, size)
+		}
 		return take(wordToken, size)
 	}
 	for _, mark := range [...]string{"..", "!=", "<=", ">=", "=", "<", ">", "(", ")", "[", "]", ","} {
--- a/config/lang/load.go
+++ b/config/lang/load.go
@@ -38,6 +38,7 @@
 	code    string
 	comment string
 	node    *lineNode // nil for lines without code, and faulty ones
+	faulty  bool
 }
 
 // file is one file as it was read.
@@ -70,6 +71,7 @@
 	col        int
 	nameCol    int
 	entries    []*entry
+	faulty     bool // a line of it could not be read
 }
 
 // entry is one key of a section.
@@ -108,7 +110,7 @@
 		return
 	}
 	l.top, l.done = filepath.Dir(real), map[string]*file{}
-	l.read(path, real, nil)
+	l.read(path, real, nil, 1)
 }
 
 // reason leaves out the path, which a message names by itself.
@@ -148,10 +150,10 @@
 }
 
 // read takes in one file, at the place of the include that named it.
-func (l *loader) read(path, real string, include *line) {
+func (l *loader) read(path, real string, include *line, col int) {
 	fail := func(what, wanted string) {
 		if include != nil {
-			l.say(include, 1, fmt.Sprintf("include %q: %s", path, what), wanted)
+			l.say(include, col, fmt.Sprintf("include %q: %s", path, what), wanted)
 		} else {
 			l.add(Message{File: path, Line: 1, Col: 1, What: "can't be read: " + what, Wanted: wanted})
 		}
@@ -189,7 +191,7 @@
 		at := line{file: f, number: number, text: string(text)}
 		fault := func(col int, what, wanted string) {
 			say(Message{File: path, Line: number, Col: col, What: what, Wanted: wanted, text: at.text})
-			at.code, at.comment = "", ""
+			at.code, at.comment, at.faulty = "", "", true
 		}
 		at.code, at.comment = cutComment(at.text)
 		at.code = strings.TrimRight(at.code, " \t")
@@ -234,8 +236,10 @@
 		at := &f.lines[n]
 		switch node := at.node; {
 		case node == nil:
-			if strings.HasPrefix(strings.TrimSpace(at.text), "[") {
+			if at.faulty && strings.HasPrefix(strings.TrimSpace(at.text), "[") {
 				in, lost = nil, true
+			} else if at.faulty && in != nil {
+				in.faulty = true
 			}
 		case node.Section != nil:
 			in, lost = l.section(at, node.Section), false
@@ -341,5 +345,5 @@
 			related...)
 		return
 	}
-	l.read(path, real, at)
+	l.read(path, real, at, col)
 }
--- a/config/lang/message.go
+++ b/config/lang/message.go
@@ -115,9 +115,9 @@
 
 // near gives the word of a list that was probably meant, or an empty one: the closest within a third of its length.
 func near(word string, list []string) string {
-	best, least := "", len(word)/3+1
+	best, least := "", max(len(word)/3+1, min(len(word)-1, 2))
 	for _, other := range list {
-		if d := distance(word, other, least+1); d < least || d == least && best == "" {
+		if d := distance(word, other, least+1); d < least {
 			best, least = other, d
 		}
 	}
--- a/config/lang/units.go
+++ b/config/lang/units.go
@@ -68,16 +68,14 @@
 	if name == "µs" {
 		name = "us"
 	}
-	var found *unit
-	for n := range units {
-		if units[n].name == name {
-			found = &units[n]
-		}
-	}
+	found := unitNamed(name)
 	if found == nil {
 		if f, ok := compound(text); ok {
 			return f, nil
 		}
+		if other := otherNames[strings.ToLower(name)]; other != "" {
+			return Figure{}, fmt.Errorf("unit %q is not known; did you mean %q?", name, other)
+		}
 		names := []string{}
 		for _, u := range units {
 			if strings.EqualFold(u.name, name) {
@@ -111,6 +109,21 @@
 	return Figure{found.kind, value}, nil
 }
 
+// otherNames are what units are called elsewhere.
+var otherNames = map[string]string{"sec": "s", "secs": "s", "second": "s", "seconds": "s", "msec": "ms", "millis": "ms",
+	"usec": "us", "min": "m", "mins": "m", "minutes": "m", "hour": "h", "hours": "h", "rps": "/s", "/sec": "/s",
+	"/min": "/m", "/hour": "/h", "percent": "%", "core": "core-s", "cores": "core-s", "cpu-s": "core-s",
+	"cpu-ms": "core-ms", "k": "KB", "mib": "MB", "gib": "GB", "kib": "KB"}
+
+func unitNamed(name string) *unit {
+	for n := range units {
+		if units[n].name == name {
+			return &units[n]
+		}
+	}
+	return nil
+}
+
 // exact multiplies a decimal number by a unit: -1 where it is too large, false where something is left over.
 func exact(number string, is int64) (int64, bool) {
 	if n, err := strconv.ParseInt(number, 10, 64); err == nil {
