The routes' module: kept traces and a property test; jobs leave pools without engines

Need: pools, fallbacks, limits and versions have states that no example shows all of.

Change: kept traces of fallback, return, limits, trials, overflow and versions, and a property test that checks each promise after random events. It found jobs that waited for a pool that had gone while it was down, and jobs that waited for one without engines while another had some; both are reconsidered now. All pools of a version are counted from its start, so that the share of a minimum is of what was there. The clock of a budget is that of the question, not of the last event. A backslash at the end of a line, found by fuzzing, made the lexer stand still.

--- a/config/lang/lexer.go
+++ b/config/lang/lexer.go
@@ -101,6 +101,8 @@
 			size += width
 		}
 		return take(figureToken, size)
+	case rest == `\`:
+		return lexer.Token{}, &badText{s.col, "a backslash at the end of the line", "a character behind it, which it takes by its word"}
 	case isWordStart(r) || r == '\\':
 		size := 0
 		for size < len(rest) {
--- a/controller/routes.go
+++ b/controller/routes.go
@@ -10,17 +10,24 @@
 )
 
 // placement hands a lane to the module.
-type placement struct{ *route.Lane }
+type placement struct {
+	c *Controller
+	*route.Lane
+}
 
 func (p placement) Allows(e logic.EngineID) bool { return p.Lane.Allows(route.EngineID(e)) }
 
+func (p placement) Further(first, over time.Duration) bool {
+	return p.Lane.Further(p.c.now, first, over)
+}
+
 // routeHost carries out what the router decides. All is called under the lock. What leads to the module is told later,
 // as the router and the module must not be called from within each other.
 type routeHost struct{ c *Controller }
 
 func (h routeHost) Admit(id route.JobID, lane *route.Lane) {
 	if j := h.c.jobs[logic.JobID(id)]; j != nil && lane != nil {
-		j.place = placement{lane}
+		j.place = placement{h.c, lane}
 	}
 }
 
@@ -39,7 +46,7 @@
 	h.c.counts[movedByRoute]++
 	h.c.later(func() {
 		if j := h.c.jobs[logic.JobID(id)]; j != nil {
-			j.place = placement{lane}
+			j.place = placement{h.c, lane}
 			h.c.logic.Placed(h.c.now, j.id, j.place, false)
 		}
 	})
--- a/decide/route/meter.go
+++ b/decide/route/meter.go
@@ -15,6 +15,7 @@
 	begun     bool          // ever
 	left      time.Duration // when a job last left the held ones, and the mean time between
 	between   float64
+	gaps      float64       // that it rests on
 	rateAt    time.Duration // until when the rate is promised to jobs that were told to come back
 	heldAt    time.Duration // the same for places among the held
 	spans     [budgetParts]span
@@ -84,8 +85,11 @@
 func (m *meter) departs(now time.Duration) {
 	if m.left > 0 {
 		// Over some ten jobs, and a pause counts for no more than ten of them.
-		gap := math.Min(float64(now-m.left), 10*math.Max(m.between, float64(time.Millisecond)))
-		m.between += (gap - m.between) / 10
+		gap := float64(now - m.left)
+		if m.gaps = math.Min(m.gaps+1, 10); m.gaps > 3 {
+			gap = math.Min(gap, 10*math.Max(m.between, float64(time.Millisecond)))
+		}
+		m.between += (gap - m.between) / m.gaps
 	}
 	m.left = now
 }
--- a/decide/route/random_test.go
+++ b/decide/route/random_test.go
@@ -11,6 +11,8 @@
 	"pgregory.net/rapid"
 )
 
+var updateTraces = flag.Bool("update", false, "write the traces anew, to be read before they are kept")
+
 // TestMain gives the property tests the same seed in each run; -rapid.seed looks further.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
--- a/decide/route/router.go
+++ b/decide/route/router.go
@@ -27,8 +27,8 @@
 	table  *Table
 	routes map[RouteName]*routeState // those that had a job
 	order  []*routeState
-	pools  map[PoolName]*poolState // those that such a route uses
-	listed []*poolState            // the same, in the order of use
+	pools  map[PoolName]*poolState
+	listed []*poolState // the same, in order
 	jobs   int
 }
 
@@ -49,13 +49,13 @@
 	route      *routeState
 	lane       *Lane
 	out        bool
+	givenUp    bool
 	sent       int
 	prev, next *job // of the route
 }
 
 // Lane is a set of engines that jobs of one route may go to now: those of a pool, and of one more.
 type Lane struct {
-	router      *Router
 	route       *routeState
 	main, extra *leg // nil main: every engine
 }
@@ -74,10 +74,9 @@
 
 // Further tells whether a job may go again: first is the time since its first dispatch that may have run (0: none),
 // over that since the last one ended.
-func (l *Lane) Further(first, over time.Duration) bool {
+func (l *Lane) Further(now, first, over time.Duration) bool {
 	p := &l.route.Policy
-	return over >= p.FurtherWait && (p.RepeatWindow == 0 || first <= p.RepeatWindow) &&
-		l.route.meter.further(l.router.now, p)
+	return over >= p.FurtherWait && (p.RepeatWindow == 0 || first <= p.RepeatWindow) && l.route.meter.further(now, p)
 }
 
 // Names gives the lane's route and pools, for logs.
@@ -146,10 +145,12 @@
 	r.numbered++
 	r.versions = append(r.versions, &version{number: r.numbered, plan: plan, table: table,
 		routes: map[RouteName]*routeState{}, pools: map[PoolName]*poolState{}})
+	for _, p := range plan.Pools {
+		r.pool(r.newest(), p)
+	}
 	r.free()
 	r.eachPool(func(p *poolState) {
-		r.fill(p)
-		r.update(p.users...)
+		r.recount(p, func() { r.fill(p) })
 	})
 	for _, v := range r.versions {
 		for _, rs := range v.order {
@@ -221,10 +222,7 @@
 // ListEnds acts on what the list said.
 func (r *Router) ListEnds(now time.Duration) {
 	r.now = now
-	r.eachPool(func(p *poolState) {
-		p.count(now)
-		r.update(p.users...)
-	})
+	r.eachPool(func(p *poolState) { r.recount(p, func() { p.count(now) }) })
 }
 
 // EngineSuspected tells that the decision module holds an engine for faulty, or no longer.
@@ -237,12 +235,27 @@
 	e.suspected = suspected
 	r.eachPool(func(p *poolState) {
 		if p.members[id] != nil {
-			p.count(now)
-			r.update(p.users...)
+			r.recount(p, func() { p.count(now) })
 		}
 	})
 }
 
+// recount acts on what a change of a pool's engines comes to. A pool that was down already changes no standing, but
+// when it is gone, or has its first usable engine or none any more, jobs that wait may do better elsewhere.
+func (r *Router) recount(p *poolState, change func()) {
+	gone, none := p.gone, p.usable == 0
+	change()
+	r.update(p.users...)
+	if p.gone == gone && (p.usable == 0) == none {
+		return
+	}
+	for _, rs := range p.users {
+		for j := rs.first; j != nil; j = j.next {
+			r.reconsider(j)
+		}
+	}
+}
+
 func (r *Router) eachPool(f func(*poolState)) {
 	for _, v := range r.versions {
 		for _, p := range v.listed {
@@ -259,7 +272,7 @@
 			was := l.stand
 			if l.update(r.now, &rs.Policy) {
 				changed = true
-				if rs.first != nil || rs.version == r.newest() {
+				if rs.version == r.newest() {
 					r.host.Log(fmt.Sprintf("route %s: pool %s is %s, was %s (%d usable of %d)", rs.Name, l.pool.Name,
 						l.stand, was, l.pool.usable, l.pool.size(r.now)))
 				}
@@ -398,7 +411,7 @@
 			return l
 		}
 	}
-	l := &Lane{router: r, route: rs, main: main, extra: extra}
+	l := &Lane{route: rs, main: main, extra: extra}
 	rs.lanes = append(rs.lanes, l)
 	return l
 }
@@ -534,7 +547,7 @@
 	if j == nil || !j.out {
 		return
 	}
-	j.out = false
+	j.out, j.givenUp = false, false // it may have left just before it was to be given up
 	j.route.meter.out--
 	r.reconsider(j)
 	r.await(j)
@@ -544,14 +557,20 @@
 // reconsider moves a held job that is not in a pool in use. One that waits on its own pool's return, or went to
 // another, stays there: jobs do not all come back at once.
 func (r *Router) reconsider(j *job) {
-	if j.out || j.lane.main == nil || j.lane.main.stand != down && j.lane.main.stand != rising {
+	main := j.lane.main
+	if j.out || main == nil || main.stand != down && main.stand != rising {
 		return
 	}
+	open := slices.ContainsFunc(j.route.legs, func(l *leg) bool { return l.share(r.now, &j.route.Policy) > 0 })
+	if !open && !main.pool.gone && main.pool.usable > 0 {
+		return // one of the last resorts is as good as another
+	}
 	lane, none := r.choose(j.route)
-	if none {
+	if none && !j.givenUp {
+		j.givenUp = true
 		j.route.meter.Counts.GivenUp++
 		r.host.GiveUp(j.id)
-	} else if lane != j.lane {
+	} else if !none && lane != j.lane {
 		r.move(j, lane)
 	}
 }
