demo: stand-in engines and a feed in the process, mixed load, an engine and a room lost

Need: a newcomer had to bring engines and a feed; make run throttled everything.

Change: lab/standin/engine and feed play the outside from the protocol's pages, lab/load the clients, and the demo serves with an operators' file between them, shows each second what routes, engines and answers do, and ends with a summary and an audit. make run starts it. Examples of diff tell only what matters.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run bench
+.PHONY: build test lint run serve bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -10,7 +10,7 @@
 	go test -run '^$$' -fuzz FuzzFormat -fuzztime 2000x ./config/lang
 
 lint:
-	@unformatted=$$(gofmt -l cmd config controller decide internal logic); \
+	@unformatted=$$(gofmt -l cmd config controller decide internal lab logic); \
 	if [ -n "$$unformatted" ]; then echo "not gofmt-clean: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
@@ -27,6 +27,10 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 2000x ./decide/... ./config/... ./logic
 
-# One controller with the example configuration; INT or TERM ends it.
+# A minute of load between stand-in engines, served with deploy/operator.conf; needs nothing else.
 run: build
+	bin/yarrowbarrow demo
+
+# One controller with the example configuration; INT or TERM ends it.
+serve: build
 	BALANCER_CONFIG=deploy/example.json exec bin/yarrowbarrow
--- a/cmd/yarrowbarrow/explain.go
+++ b/cmd/yarrowbarrow/explain.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -13,11 +12,11 @@
 	"yarrowbarrow/decide/route"
 )
 
-// load reads a file that must be free of errors.
-func load(path string, platform *lang.Platform) (*lang.Config, error) {
+// loadFile reads a file that must be free of errors.
+func loadFile(path string, platform *lang.Platform, out *output) (*lang.Config, error) {
 	c := lang.Load(path, platform)
 	if c.Plan == nil {
-		_ = c.Messages.Print(os.Stderr)
+		_ = c.Messages.Print(out.log)
 		return nil, errFindings
 	}
 	return c, nil
@@ -38,11 +37,11 @@
 }
 
 func (d *diffCommand) Run(out *output) error {
-	was, err := load(d.Old, nil)
+	was, err := loadFile(d.Old, nil, out)
 	if err != nil {
 		return err
 	}
-	now, err := load(d.New, nil)
+	now, err := loadFile(d.New, nil, out)
 	if err != nil {
 		return err
 	}
@@ -94,10 +93,10 @@
 
 type explainedPool struct {
 	Pool     string           `json:"pool"`
-	Engines  []route.EngineID `json:"engines"`
-	Others   int              `json:"others"` // engines that are no members
-	Stands   string           `json:"stands"`
-	Fit      bool             `json:"fit"`
+	Engines  []route.EngineID `json:"engines,omitempty"` // these four where engines are known
+	Others   int              `json:"others,omitempty"`  // engines that are no members
+	Stands   string           `json:"stands,omitempty"`
+	Fit      *bool            `json:"fit,omitempty"`
 	Overflow string           `json:"overflow,omitempty"`
 }
 
@@ -111,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := load(e.File, platform)
+	c, err := loadFile(e.File, platform, out)
 	if err != nil {
 		return err
 	}
@@ -131,8 +130,11 @@
 	if r := found.Route; r != nil {
 		told.Route, told.Policy, told.Limits = string(r.Name), r.Policy.Name, r.Policy.Limits()
 		for _, v := range found.Pools {
-			told.Pools = append(told.Pools, explainedPool{string(v.Pool.Name), v.Engines, v.Left, v.Stands, v.Fit,
-				string(v.Pool.Overflow)})
+			p := explainedPool{Pool: string(v.Pool.Name), Overflow: string(v.Pool.Overflow)}
+			if cfg != nil {
+				p.Engines, p.Others, p.Stands, p.Fit = v.Engines, v.Left, v.Stands, &v.Fit
+			}
+			told.Pools = append(told.Pools, p)
 		}
 	}
 	if e.JSON {
@@ -140,11 +142,11 @@
 		enc.SetIndent("", "  ")
 		return enc.Encode(told)
 	}
-	told.print(out, cfg != nil)
+	told.print(out)
 	return nil
 }
 
-func (t *explained) print(out *output, engines bool) {
+func (t *explained) print(out *output) {
 	fmt.Fprintf(out, "job    %s\n", t.Job)
 	for _, p := range t.Passed {
 		fmt.Fprintf(out, "passed route %q, as it does not hold that %s\n", p.Route, p.Why)
@@ -163,9 +165,9 @@
 			word = "else  "
 		}
 		fmt.Fprintf(out, "%s %s", word, p.Pool)
-		if engines {
+		if p.Fit != nil {
 			fmt.Fprintf(out, ": %s, of %d that are known", p.Stands, len(p.Engines)+p.Others)
-			if !p.Fit {
+			if !*p.Fit {
 				fmt.Fprint(out, "; not fit, so that it is passed over")
 			}
 		}
@@ -192,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := load(r.File, platform)
+	c, err := loadFile(r.File, platform, out)
 	if err != nil {
 		return err
 	}
--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -29,6 +29,7 @@
 	Diff       diffCommand       `cmd:"" help:"Tell what two versions of an operators' file mean differently."`
 	Explain    explainCommand    `cmd:"" help:"Tell where a job would go, and why."`
 	Routes     routesCommand     `cmd:"" help:"Show the routes of an operators' file as a table."`
+	Demo       demoCommand       `cmd:"" help:"Play a minute of load between stand-in engines, with an operators' file."`
 	Version    versionCommand    `cmd:"" help:"Show the version of this program."`
 	Completion completionCommand `cmd:"" help:"Write a completion script for bash."`
 }
@@ -36,8 +37,11 @@
 // errFindings ends with exit code 1 after all has been said.
 var errFindings = errors.New("findings")
 
-// output is where commands write to.
-type output struct{ io.Writer }
+// output is where commands write to; what is wrong goes to log.
+type output struct {
+	io.Writer
+	log io.Writer
+}
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
@@ -76,7 +80,7 @@
 	if c.LogFormat == "json" {
 		logger = slog.New(slog.NewJSONHandler(log, options))
 	}
-	return codeOf(ctx.Run(logger, &output{out}, parser), log)
+	return codeOf(ctx.Run(logger, &output{out, log}, parser), log)
 }
 
 func codeOf(err error, log io.Writer) int {
--- a/controller/routes.go
+++ b/controller/routes.go
@@ -156,3 +156,22 @@
 			"over_rate", n.Refused[route.OverRate], "over_held", n.Refused[route.OverHeld], "no_pool", n.Refused[route.NoPool])
 	})
 }
+
+// RouteReport is what a route has and had.
+type RouteReport struct {
+	Name      string
+	Open, Out int
+	route.Counts
+}
+
+// Routes reports each route that had a job, by name; none without an operators' file. It may be called from anywhere.
+func (c *Controller) Routes() (reports []RouteReport) {
+	c.do(func() {
+		if c.router != nil {
+			c.router.Each(func(name route.RouteName, jobs, out int, n route.Counts) {
+				reports = append(reports, RouteReport{string(name), jobs, out, n})
+			})
+		}
+	})
+	return reports
+}
--- a/decide/route/match.go
+++ b/decide/route/match.go
@@ -352,6 +352,9 @@
 func (b *box) example() (j Job, found, known bool) {
 	words := [texts]string{}
 	for f := range b.texts {
+		if t := &b.texts[f]; Field(f) != Type && len(t.any) == 0 && len(t.none) == 0 {
+			continue // not told, as it does not matter
+		}
 		if words[f], found, known = b.texts[f].example(); !found {
 			return j, false, known
 		}
@@ -363,6 +366,9 @@
 func (b *box) job(words [texts]string, way int) Job {
 	pick := func(f Field) int64 {
 		r := b.figures[f-Tables]
+		if r[0] == whole[0] {
+			return Untold
+		}
 		if len(r) > 1 && r[0].To < 0 {
 			r = r[1:] // rather told than not
 		}
