--- a/logic/logic.go
+++ b/logic/logic.go
@@ -334,18 +334,21 @@
 	}
 	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
-		var barred [][2]any  // from all engines, so that no other job of the type and placement is tried
+		var barred []*job    // from all engines, so that no other of their type and placement is tried
 		var full []Placement // that a job before waits for
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			fresh := j.line == nil && j.sent == 0
-			if fresh && slices.Contains(barred, [2]any{j.row, j.place}) || slices.Contains(full, j.place) {
+			if fresh && barredLike(barred, j) || j.place != nil && slices.Contains(full, j.place) {
 				return false
-			} else if to, waits = c.choose(j); fresh && to == nil && !waits {
-				barred = append(barred, [2]any{j.row, j.place})
-			} else if to == nil && waits && j.place != nil && c.roomFor(j.row.Threads) {
+			}
+			if to, waits = c.choose(j); to != nil {
+				return true
+			} else if fresh && !waits {
+				barred = append(barred, j)
+			} else if waits && j.place != nil && c.roomFor(j.row.Threads) {
 				full, waits = append(full, j.place), false // others' engines may have room
 			}
-			return to != nil || waits
+			return waits
 		})
 		if to == nil {
 			return
@@ -354,6 +357,10 @@
 	}
 }
 
+func barredLike(barred []*job, j *job) bool {
+	return slices.ContainsFunc(barred, func(o *job) bool { return o.row == j.row && o.place == j.place })
+}
+
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
 // narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
