Leaving: late clients and jobs are answered; one set of engines for all routes of a pool

What can be lost then: connections that come while leaving were closed at once, with the jobs already written to them; jobs read after the last phase began were taken; and the process ended at the first moment in which nothing was owed.

Change: while leaving, newcomers are told that no job is wanted and what they send is throttled; the process ends when no job came for 100 ms. Placements tell their set of engines, which is one for all routes of a pool, so that a release tries each set once and not each route, and a pool sheds over all its routes. The checker refuses a route whose pools hold no engine that a type may go to.

--- a/cmd/yarrowbarrow/main_test.go
+++ b/cmd/yarrowbarrow/main_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"flag"
+	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -165,3 +168,42 @@
 		t.Error(code, out.String())
 	}
 }
+
+// TestDemo: a short one, in which an engine and a room are lost, answers each job once and runs none twice.
+func TestDemo(t *testing.T) {
+	var out, log bytes.Buffer
+	if code := run([]string{"demo", "--seconds", "6", "../../deploy/operator.conf"}, &locked{Writer: &out}, &log); code != fine {
+		t.Fatal(code, log.String())
+	}
+	text := out.String()
+	for _, want := range []string{"** the east is lost", "pool east is down", "\n0 jobs answered twice, 0 run twice on one engine\n"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q", want)
+		}
+	}
+	var jobs, done int
+	for _, line := range strings.Split(text, "\n") {
+		if f := strings.Fields(line); len(f) == 9 && f[0] == "lookup" {
+			jobs, _ = strconv.Atoi(f[1])
+			done, _ = strconv.Atoi(f[2])
+		}
+	}
+	if jobs < 300 || done < jobs*8/10 {
+		t.Errorf("%d jobs, %d done", jobs, done)
+	}
+	if t.Failed() {
+		t.Log(text)
+	}
+}
+
+// locked lets the parts of the demo write in turn.
+type locked struct {
+	mu sync.Mutex
+	io.Writer
+}
+
+func (l *locked) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Writer.Write(p)
+}
--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -28,13 +28,13 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	read := func() (config.Config, error) { return config.FromEnvironment(s.Operators) }
 	cfg, err := read()
+	for _, m := range cfg.Messages {
+		log.Warn("operators' file", "says", m)
+	}
 	if err != nil {
 		log.Error("configuration", "why", err)
 		return errFindings
 	}
-	for _, w := range cfg.Warnings {
-		log.Warn("configuration", "says", w)
-	}
 	c := controller.New(cfg, log.With("name", cfg.Name))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/config/config.go
+++ b/config/config.go
@@ -30,7 +30,7 @@
 	Settings Settings
 	// The operators' routes, of their file; nil without one.
 	Plan     *route.Plan
-	Warnings lang.Messages // of that file
+	Messages lang.Messages // of its check, also where it was faulty
 }
 
 // FromEnvironment reads the file that BALANCER_CONFIG names; BALANCER_NAME and BALANCER_LISTEN go before it. The
@@ -54,7 +54,7 @@
 func (c *Config) readOperators(path string) error {
 	platform := c.Platform()
 	loaded := lang.Load(path, &platform)
-	c.Plan, c.Warnings = loaded.Plan, loaded.Messages
+	c.Plan, c.Messages = loaded.Plan, loaded.Messages
 	return loaded.Messages.Err()
 }
 
--- a/config/lang/check.go
+++ b/config/lang/check.go
@@ -26,6 +26,7 @@
 	Name                        string
 	SLATime, JobTimeout, Window time.Duration
 	Keyed                       bool
+	Locations, Kinds            []string // of engines that it may go to; none: all
 }
 
 // Config is a configuration that was read and checked.
@@ -717,6 +718,7 @@
 			c.once(v, fmt.Sprintf("%s %s %s %s of type %q, %s", key, v.figure, relation, what, t.Name, Figure{duration, int64(most)}),
 				"a shorter time; is the unit meant?", Related{s.at.file.path, s.at.number, fmt.Sprintf("route %q takes %q", s.name, t.Name)})
 		}
+		c.reaches(s, r, &t)
 		limit("further-wait", t.JobTimeout, "the job timeout")
 		limit("fallback-wait", t.SLATime, "the SLA time")
 		limit("overflow-after", t.SLATime, "the SLA time")
@@ -726,6 +728,25 @@
 	}
 }
 
+// reaches checks that a reservation type can go to some engine of some pool of a route: its own placement holds as well,
+// and jobs with none in common would only wait until they are refused.
+func (c *checker) reaches(s *section, r *route.Route, t *PlatformType) {
+	fits := func(patterns []route.Pattern, allowed []string) bool {
+		return len(patterns) == 0 || len(allowed) == 0 || slices.ContainsFunc(allowed, func(name string) bool {
+			return slices.ContainsFunc(patterns, func(p route.Pattern) bool { return p.Matches(name) })
+		})
+	}
+	reached := slices.ContainsFunc(r.Pools, func(p *route.Pool) bool {
+		return slices.ContainsFunc(p.Any, func(all []route.Members) bool {
+			return !slices.ContainsFunc(all, func(m route.Members) bool { return !fits(m.Locations, t.Locations) || !fits(m.Kinds, t.Kinds) })
+		})
+	})
+	if v := c.settings[s]["pool"]; v != nil && len(r.Pools) > 0 && !reached && len(r.Pools[0].Any) > 0 {
+		c.say(v.at, v.cols[0], fmt.Sprintf("jobs of type %q can go to no engine of this route's pools: it is allowed in %s", t.Name,
+			strings.Join(slices.Concat(t.Locations, t.Kinds), ", ")), "a pool with such engines, or a match that leaves the type out")
+	}
+}
+
 // once says a thing about a setting only once, however many routes come to it.
 func (c *checker) once(v *setting, what, wanted string, related ...Related) {
 	for _, m := range c.messages {
--- a/config/lang/fuzz_test.go
+++ b/config/lang/fuzz_test.go
@@ -149,7 +149,7 @@
 		if pick("by", "id", "kind") == "id" {
 			line("id", "=", pick("any", "*", `"*"`, "12, *", `"e\*", *`, `e\*`, `"a\"b"`))
 		} else {
-			line("kind", "=", pick("kinds", "std", `"*"`, "std, b?g"))
+			line("kind", "=", pick("kinds", "big", `"*"`, "std, b?g"))
 		}
 		if rapid.Bool().Draw(t, "more") {
 			line("minimum", "=", pick("minimum", "2", "50%", "12.5%", "100.0%"))
--- a/config/lang/lang_test.go
+++ b/config/lang/lang_test.go
@@ -29,6 +29,7 @@
 	Types: []PlatformType{
 		{Name: "lookup", SLATime: time.Second, JobTimeout: 5 * time.Second},
 		{Name: "load", SLATime: 3 * time.Second, JobTimeout: 20 * time.Second, Window: 12 * time.Second, Keyed: true},
+		{Name: "export", SLATime: 5 * time.Second, JobTimeout: 20 * time.Second, Locations: []string{"east"}, Kinds: []string{"big"}},
 	},
 	Locations: []string{"east", "west"}, Kinds: []string{"std", "big"}, Customers: []string{"censo-norte", "inegi"},
 	Fronts: []string{"framed"},
@@ -79,7 +80,7 @@
 			} else if d := cmp.Diff(want, got.String()); d != "" {
 				t.Error(d)
 			}
-			warns := strings.HasPrefix(filepath.Base(path), "warn-") || filepath.Base(path) == "platform-location.txtar"
+			warns := strings.HasPrefix(filepath.Base(path), "warn-")
 			if len(c.Messages) == 0 || (c.Plan == nil) == warns || (c.Messages.Errors() > 0) == warns {
 				t.Errorf("plan %v, %d errors of %d messages", c.Plan != nil, c.Messages.Errors(), len(c.Messages))
 			}
--- a/config/platform.go
+++ b/config/platform.go
@@ -17,8 +17,15 @@
 	p := lang.Platform{Fronts: []string{"framed"}}
 	locations := []logic.Location{s.Location}
 	for _, t := range s.Types {
-		p.Types = append(p.Types, lang.PlatformType{Name: string(t.Name), SLATime: t.SLATime, JobTimeout: t.JobTimeout,
-			Window: t.Window, Keyed: t.Repeat == logic.Keyed})
+		known := lang.PlatformType{Name: string(t.Name), SLATime: t.SLATime, JobTimeout: t.JobTimeout, Window: t.Window,
+			Keyed: t.Repeat == logic.Keyed}
+		for _, l := range t.Locations {
+			known.Locations = append(known.Locations, string(l))
+		}
+		for _, k := range t.Kinds {
+			known.Kinds = append(known.Kinds, string(k))
+		}
+		p.Types = append(p.Types, known)
 		locations = append(locations, t.Locations...)
 	}
 	for _, e := range c.Engines() {
--- a/controller/clients.go
+++ b/controller/clients.go
@@ -37,14 +37,14 @@
 func (c *Controller) accept(conn netpoll.Connection) context.Context {
 	k := &client{jobs: map[uint32]*job{}}
 	c.do(func() {
-		if len(c.clients) >= c.mostClients() && !c.makeRoom() || c.phase == Leaving {
+		if len(c.clients) >= c.mostClients() && !c.makeRoom() || c.phase == Stopped {
 			c.counts[clientsRefused]++
 			return
 		}
 		c.counts[clientsAccepted]++
 		k.link, k.active = newLink(c, conn), c.now
 		c.clients[k] = true
-		if c.phase == Draining {
+		if c.phase >= Draining {
 			k.sendEmpty(frame.NoMore, 0)
 		}
 	})
@@ -286,10 +286,11 @@
 			return
 		}
 		c.counts[jobsTaken]++
+		c.jobCame = c.now
 		k.jobs[stream] = j
 		// Guards the machine: it must not die of what it holds. The job never ran, so a retry does no harm.
 		if most := c.cfg.Settings.OpenCap; c.full(len(j.statement)) || most > 0 && len(c.jobs) >= most ||
-			len(k.jobs) > streamsPerClient || c.phase == Leaving {
+			len(k.jobs) > streamsPerClient || c.phase >= Leaving {
 			c.counts[jobsOverLimit]++
 			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
 			return
@@ -456,6 +457,9 @@
 	c.at(first, func() { c.leave(first + min(longest, 3*time.Second) - 200*time.Millisecond) })
 }
 
+// lastJobs is how long no job has come when the process ends: several times the trip of the word that it leaves.
+const lastJobs = 100 * time.Millisecond
+
 // leave ends the process once nothing is owed, or answers what is left when the time is over.
 func (c *Controller) leave(last time.Duration) {
 	if c.phase == Draining {
@@ -469,7 +473,12 @@
 			}
 		}
 	}
+	// Guards against what was sent before the client heard that we leave and is read late, by a machine that stood
+	// still: its job may be behind the next read, and would be lost with the connection.
 	owed := 0
+	if c.now < c.jobCame+lastJobs {
+		owed++
+	}
 	for k := range c.clients {
 		owed += len(k.jobs) + k.backlog()
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -68,8 +68,9 @@
 	queue     []func()
 	lines     []slog.Record
 	counts    [counters]int64
-	bytes     int64        // of statements and pages
-	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
+	bytes     int64         // of statements and pages
+	held      atomic.Int64  // bytes that connections keep: unsent, or of messages that are not whole
+	jobCame   time.Duration // when the last one did
 	panics    []time.Duration
 	logged    time.Duration // when the counters last were
 	listener  netpoll.EventLoop
@@ -144,6 +145,9 @@
 		table = route.NewTable(next.Plan, before)
 	}
 	c.do(func() {
+		for _, m := range next.Messages[:min(len(next.Messages), mostMessages)] {
+			c.note(slog.LevelWarn, "operators' file", "says", m.String())
+		}
 		if err != nil {
 			c.counts[reloadsFailed]++
 			c.note(slog.LevelError, "configuration not taken", "why", err)
@@ -157,6 +161,9 @@
 	return err
 }
 
+// mostMessages of a check are logged; the command check shows them all.
+const mostMessages = 20
+
 // limit keeps the process inside its machine. The collector waits until what is held has grown fourfold, a few
 // tens of MB here, and starts to press at two thirds of the memory, which leaves room for what it does not count.
 func limit(cfg config.Config) {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -652,6 +652,33 @@
 }
 
 // TestStopsOnSilence: what nothing answers is cancelled for good before the time is over.
+// TestLateWhileLeaving: a client that comes, or sends, when the controller is about to go is answered all the same, so
+// that a job that a slow machine brings late is throttled and not lost.
+func TestLateWhileLeaving(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "2500")
+	c := e.hears("serve")
+	b.stop()
+	k.gets(frame.NoMore, 0, 0, "")
+	b.until(func() bool { return b.c.phase == Leaving })
+	late, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	l := conn{late, t}
+	l.quick(3, "2000")
+	l.gets(frame.NoMore, 0, 0, "")
+	l.gets(frame.Answer, 3, frame.Throttled, "")
+	k.quick(2, "2000")
+	k.gets(frame.Answer, 2, frame.Throttled, "")
+	c.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	b.exits()
+}
+
 func TestStopsOnSilence(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
--- a/decide/route/router.go
+++ b/decide/route/router.go
@@ -29,6 +29,7 @@
 	order  []*routeState
 	pools  map[PoolName]*poolState
 	listed []*poolState // the same, in order
+	sets   map[[2]*poolState]*[2]*poolState
 	jobs   int
 }
 
@@ -58,6 +59,15 @@
 type Lane struct {
 	route       *routeState
 	main, extra *leg // nil main: every engine
+	set         *[2]*poolState
+}
+
+// Set is the same for lanes with the same pools, whatever their routes, and nil for those of every engine.
+func (l *Lane) Set() any {
+	if l.set == nil {
+		return nil
+	}
+	return l.set
 }
 
 // Allows tells whether an engine is among those of the lane.
@@ -144,7 +154,7 @@
 	r.now = now
 	r.numbered++
 	r.versions = append(r.versions, &version{number: r.numbered, plan: plan, table: table,
-		routes: map[RouteName]*routeState{}, pools: map[PoolName]*poolState{}})
+		routes: map[RouteName]*routeState{}, pools: map[PoolName]*poolState{}, sets: map[[2]*poolState]*[2]*poolState{}})
 	for _, p := range plan.Pools {
 		r.pool(r.newest(), p)
 	}
@@ -412,6 +422,16 @@
 		}
 	}
 	l := &Lane{route: rs, main: main, extra: extra}
+	if main != nil {
+		pools := [2]*poolState{main.pool}
+		if extra != nil {
+			pools[1] = extra.pool
+		}
+		if rs.version.sets[pools] == nil {
+			rs.version.sets[pools] = &pools
+		}
+		l.set = rs.version.sets[pools]
+	}
 	rs.lanes = append(rs.lanes, l)
 	return l
 }
--- a/logic/host.go
+++ b/logic/host.go
@@ -37,9 +37,10 @@
 	Log(line string)
 }
 
-// Placement narrows a job's engines beyond what the rules allow, never widens them. Values are compared: jobs of an
-// equal one wait for room behind one another, not behind those of another.
+// Placement narrows a job's engines beyond what the rules allow, never widens them. Jobs of one set of engines wait
+// for room behind one another, not behind those of another set.
 type Placement interface {
+	Set() any                    // equal for the same set of engines, nil for all
 	Allows(engine EngineID) bool // among its engines
 	Room() bool                  // a job may leave now
 	// Further tells whether a job may go again, by the time since the first of its dispatches that may have run, or
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	tables       Tables
 	over         bool      // beyond its customer's share
 	place        Placement // narrows its engines, or nil
+	set          any       // of those engines, nil for all
 	freed        time.Duration
 	ended        bool        // its final answer is given, or the client left
 	maybeRan     []*dispatch // dispatches that are out or may have run
@@ -217,7 +218,8 @@
 	}
 	c.seq++
 	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
-		d: min(now+r.JobTimeout, expires), place: place}
+		d: min(now+r.JobTimeout, expires)}
+	j.goesIn(place)
 	c.jobs[id] = j
 	if c.set.BudgetWindow > 0 {
 		c.budgetAllows() // which forgets what is past the window
@@ -235,7 +237,7 @@
 		return
 	}
 	c.release()
-	c.shed(place)
+	c.shed(j)
 	if !c.ticking {
 		c.host.WakeAfter(sweepTimer, sweepEvery)
 	}
@@ -334,19 +336,19 @@
 	}
 	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
 		var to *engine
-		var barred []*job    // from all engines, so that no other of their type and placement is tried
-		var full []Placement // that a job before waits for
+		var barred []*job // from all engines, so that no other of their type and set of engines is tried
+		var full []any    // sets that a job before waits for
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			fresh := j.line == nil && j.sent == 0
-			if fresh && barredLike(barred, j) || j.place != nil && slices.Contains(full, j.place) {
+			if fresh && barredLike(barred, j) || j.set != nil && slices.Contains(full, j.set) {
 				return false
 			}
 			if to, waits = c.choose(j); to != nil {
 				return true
-			} else if fresh && !waits {
+			} else if fresh && !waits && (j.place == nil || j.place.Room()) {
 				barred = append(barred, j)
-			} else if waits && j.place != nil && c.roomFor(j.row.Threads) {
-				full, waits = append(full, j.place), false // others' engines may have room
+			} else if waits && j.set != nil && c.roomFor(j.row.Threads) {
+				full, waits = append(full, j.set), false // others' engines may have room
 			}
 			return waits
 		})
@@ -358,7 +360,7 @@
 }
 
 func barredLike(barred []*job, j *job) bool {
-	return slices.ContainsFunc(barred, func(o *job) bool { return o.row == j.row && o.place == j.place })
+	return slices.ContainsFunc(barred, func(o *job) bool { return o.row == j.row && o.set == j.set })
 }
 
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
@@ -477,6 +479,12 @@
 	return c.budgetAllows() && (j.place == nil || j.place.Further(c.now-first, c.now-j.freed))
 }
 
+func (j *job) goesIn(place Placement) {
+	if j.place, j.set = place, nil; place != nil {
+		j.set = place.Set()
+	}
+}
+
 func (j *job) placed(e *engine) bool { return j.place == nil || j.place.Allows(e.id) }
 
 // budgetAllows keeps rule 7.
@@ -740,7 +748,7 @@
 	j.ended = true
 	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
 		// The advised wait is the time that the held work takes.
-		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(c.drain(j.place)*float64(time.Second))))
+		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(c.drain(j)*float64(time.Second))))
 	} else {
 		c.host.CancelForGood(j.id)
 	}
@@ -763,7 +771,8 @@
 // Placed narrows a job's engines anew. One that can go to none any more is answered at once.
 func (c *Controller) Placed(now time.Duration, id JobID, place Placement, none bool) {
 	if j := c.jobs[id]; j != nil {
-		c.now, j.place = now, place
+		c.now = now
+		j.goesIn(place)
 		if j.out == nil && !j.ended && (none || len(j.maybeRan) > 0 && !c.couldGo(j)) {
 			c.end(j)
 		}
@@ -792,18 +801,18 @@
 	}
 }
 
-// drain is the seconds that the held jobs keep all bounds busy, or those of a placement its engines' bounds.
-func (c *Controller) drain(place Placement) float64 {
+// drain is the seconds that the held jobs keep all bounds busy, or those of a set of engines its bounds.
+func (c *Controller) drain(of *job) float64 {
 	work, bound := c.work, c.bound
-	if place != nil {
+	if of.set != nil {
 		work, bound = 0, 0
 		for _, j := range c.held {
-			if j.place == place {
+			if j.set == of.set {
 				work += j.work
 			}
 		}
 		for _, e := range c.engines {
-			if e.state == Up && place.Allows(e.id) {
+			if e.state == Up && of.placed(e) {
 				bound += e.bound
 			}
 		}
@@ -813,12 +822,12 @@
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
 // leaves in useful time, half the shortest SLA time (all of it left more late).
-func (c *Controller) shed(place Placement) {
-	for len(c.held) > 1 && c.drain(place) > c.shortest.Seconds()/2 {
+func (c *Controller) shed(like *job) {
+	for len(c.held) > 1 && c.drain(like) > c.shortest.Seconds()/2 {
 		var worst *job
 		others := 0
 		for _, j := range c.held {
-			if j.place != place {
+			if j.set != like.set {
 				continue
 			} else if others++; worst == nil || cmp.Or(cmp.Compare(j.worth, worst.worth), j.seq-worst.seq) < 0 {
 				worst = j
--- a/logic/place_test.go
+++ b/logic/place_test.go
@@ -14,6 +14,7 @@
 	once    bool // nothing goes again
 }
 
+func (p *pool) Set() any                                { return p }
 func (p *pool) Allows(e EngineID) bool                  { return slices.Contains(p.engines, e) }
 func (p *pool) Room() bool                              { return !p.shut }
 func (p *pool) Further(first, since time.Duration) bool { return !p.once }
