--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -651,7 +651,6 @@
 	b.exits()
 }
 
-// TestStopsOnSilence: what nothing answers is cancelled for good before the time is over.
 // TestLateWhileLeaving: a client that comes, or sends, when the controller is about to go is answered all the same, so
 // that a job that a slow machine brings late is throttled and not lost.
 func TestLateWhileLeaving(t *testing.T) {
@@ -679,6 +678,7 @@
 	b.exits()
 }
 
+// TestStopsOnSilence: what nothing answers is cancelled for good before the time is over.
 func TestStopsOnSilence(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
