--- a/controller/routes_test.go
+++ b/controller/routes_test.go
@@ -149,3 +149,45 @@
 	e1.hears("serve").answer("HIT", "count=1", rowB)
 	k.gets(frame.Answer, 3, frame.Done, rowB)
 }
+
+// TestRoutesAfterPanic: a new module begins with a new router of the same routes, and jobs go on as they did.
+func TestRoutesAfterPanic(t *testing.T) {
+	e0, e1 := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := startWith(t, "", withRoutes(t, twoRoutes), e0, e1)
+	k := b.client()
+	k.job(1, "quick")
+	e0.hears("serve")
+	b.c.do(func() { panic("on purpose") })
+	k.gets(frame.Answer, 1, frame.CancelledFor, "")
+	k.job(2, "load")
+	e1.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+	b.c.do(func() {
+		if kept, open := b.c.router.Versions(); kept != 1 || open != 0 {
+			t.Error(kept, open)
+		}
+	})
+}
+
+// TestRoutesTakenAway: without a file any more, new jobs go anywhere, and those that were taken keep their route.
+func TestRoutesTakenAway(t *testing.T) {
+	e0, e1 := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := startWith(t, "", withRoutes(t, twoRoutes), e0, e1)
+	k := b.client()
+	k.job(1, "quick")
+	first := e0.hears("serve")
+	if err := b.c.Reload(func() (config.Config, error) {
+		next := b.c.cfg
+		next.Plan = nil
+		return next, nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	first.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	b.list.tell(false, [3]string{"e0", e0.ln.Addr().String(), "left"})
+	b.until(func() bool { return b.c.engines["e0"] == nil || b.c.engines["e0"].state != 0 })
+	k.job(2, "quick") // whose pool was e0
+	e1.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+}
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"net"
-	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -149,7 +148,12 @@
 
 // workIn finds what a statement says of its own work, in a comment: /* work=250ms */. The protocol does not tell an
 // engine the cost.
-var workIn = regexp.MustCompile(`/\* work=([0-9a-zµ.]+) \*/`)
+func workIn(statement string) time.Duration {
+	_, after, _ := strings.Cut(statement, "/* work=")
+	text, _, _ := strings.Cut(after, " */")
+	work, _ := time.ParseDuration(text)
+	return work
+}
 
 func (e *Engine) serve(conn net.Conn, life int) {
 	var data []byte
@@ -182,10 +186,7 @@
 	}
 	switch said[0] {
 	case "serve":
-		r := &run{id: said[1], conn: conn, life: life}
-		if m := workIn.FindStringSubmatch(said[len(said)-1]); m != nil {
-			r.work, _ = time.ParseDuration(m[1])
-		}
+		r := &run{id: said[1], conn: conn, life: life, work: workIn(said[len(said)-1])}
 		e.audit.Taken++
 		e.audit.Last = time.Now()
 		e.queue = append(e.queue, r)
--- a/lab/standin/feed/feed.go
+++ b/lab/standin/feed/feed.go
@@ -3,11 +3,14 @@
 package feed
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
+	"net/textproto"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -25,10 +28,10 @@
 
 // Feed is one stand-in. Its methods may be called from anywhere.
 type Feed struct {
-	ln     net.Listener
-	server http.Server
+	ln net.Listener
 
 	mu     sync.Mutex
+	conns  map[net.Conn]bool
 	events []json.RawMessage
 	newer  chan struct{} // closed when there are more
 	calls  int
@@ -40,9 +43,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in feed: %w", err)
 	}
-	f := &Feed{ln: ln, newer: make(chan struct{})}
-	f.server.Handler = http.HandlerFunc(f.answer)
-	go func() { _ = f.server.Serve(ln) }()
+	f := &Feed{ln: ln, newer: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			f.mu.Lock()
+			f.conns[conn] = true
+			f.mu.Unlock()
+			go f.serve(conn)
+		}
+	}()
 	return f, nil
 }
 
@@ -50,7 +59,44 @@
 func (f *Feed) Address() string { return f.ln.Addr().String() }
 
 // Close ends it, with all calls.
-func (f *Feed) Close() { _ = f.server.Close() }
+func (f *Feed) Close() {
+	_ = f.ln.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for conn := range f.conns {
+		_ = conn.Close()
+	}
+}
+
+// serve answers the calls of one connection. It reads HTTP by itself, as the package for it would be in the memory of
+// every controller that is built with this one.
+func (f *Feed) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		f.mu.Lock()
+		delete(f.conns, conn)
+		f.mu.Unlock()
+	}()
+	for r := textproto.NewReader(bufio.NewReader(conn)); ; {
+		line, err := r.ReadLine()
+		if err != nil {
+			return
+		}
+		if _, err := r.ReadMIMEHeader(); err != nil {
+			return
+		}
+		status, body := "400 Bad Request", []byte("GET /v1/events?SUB=N&wait=MS is wanted")
+		if words := strings.Fields(line); len(words) == 3 && words[0] == "GET" {
+			if told := f.answer(words[1]); told != nil {
+				status, body = "200 OK", told
+			}
+		}
+		head := fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", status, len(body))
+		if _, err := conn.Write(append([]byte(head), body...)); err != nil {
+			return
+		}
+	}
+}
 
 // Tell adds an event: the whole list, or what changed.
 func (f *Feed) Tell(whole bool, hosts ...Host) {
@@ -81,12 +127,16 @@
 // mostWait is the protocol's.
 const mostWait = 5 * time.Second
 
-func (f *Feed) answer(w http.ResponseWriter, r *http.Request) {
-	last, err := strconv.Atoi(r.URL.Query().Get("SUB"))
-	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait"))
-	if r.URL.Path != "/v1/events" || err != nil || err2 != nil || wait < 0 {
-		http.Error(w, "GET /v1/events?SUB=N&wait=MS is wanted", http.StatusBadRequest)
-		return
+// answer gives the text for a call, or nil for one that is none.
+func (f *Feed) answer(target string) []byte {
+	called, err := url.Parse(target)
+	if err != nil || called.Path != "/v1/events" {
+		return nil
+	}
+	last, err := strconv.Atoi(called.Query().Get("SUB"))
+	wait, err2 := strconv.Atoi(called.Query().Get("wait"))
+	if err != nil || err2 != nil || wait < 0 {
+		return nil
 	}
 	late := time.After(min(time.Duration(wait)*time.Millisecond, mostWait))
 	f.mu.Lock()
@@ -98,8 +148,7 @@
 		select {
 		case <-newer:
 		case <-late:
-		case <-r.Context().Done():
 		}
 	}
-	_, _ = w.Write(f.Since(last))
+	return f.Since(last)
 }
