The load mix makes its counts before anything sends: a data race of the demo

Need: the race detector found the counts of a later type being made while the sender of an earlier one read them, and the demo's display could ask for them before that.

Change: all counts are made under the lock before the first sender starts.

--- a/lab/load/mix.go
+++ b/lab/load/mix.go
@@ -41,7 +41,12 @@
 
 // Run sends to an address for a time and waits for the last answers.
 func (m *Mix) Run(address string, connections int, seed int64, length time.Duration) error {
+	m.mu.Lock() // what is shown meanwhile asks for the counts
 	m.counts, m.answers = map[string]*Count{}, map[string]int{}
+	for _, kind := range m.Kinds {
+		m.counts[kind.Type] = &Count{}
+	}
+	m.mu.Unlock()
 	var clients []*Client
 	for range connections {
 		c, err := Dial(address)
@@ -53,7 +58,6 @@
 	}
 	var senders sync.WaitGroup
 	for n, kind := range m.Kinds {
-		m.counts[kind.Type] = &Count{}
 		senders.Add(1)
 		go func() {
 			defer senders.Done()
