No connection is ended with a job unread on it, and no process that stood still

Seen and checked, by tests that start the program, stop it with SIGSTOP and have clients write into the standstill: - clients.go makeRoom: after the standstill all newcomers are accepted before anything is read, and the quietest of those inside are closed with their jobs in the kernel: 20 of 28 lost. - clients.go sweepClients: a client that was quiet for 6 s by the clock, or had half a message here for 2 s, is closed though it went on in the standstill (reset; 'half a frame'). - clients.go leave: past the last moment all is cut and the process ends in the same round, before the answers left, and with jobs unread on its connections (connection reset). Also possible before: makeRoom closing a connection whose answer was queued and not flushed.

Change: decide/door decides which connection is let in, asked to leave and ended, and when a stopping process may end. None is ended while a look into the reads under way, netpoll's buffer and the kernel's (a peek) finds anything; the quietest are told that no new job is wanted from seven eighths of the places on, and closed a tenth of a second after that word has left, after two looks; a newcomer has a quarter of a second to speak. A round of leaving that comes late counts as a job that came, and after the cut ten rounds on time are left for the answers.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -11,6 +11,8 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"yarrowbarrow/config"
+	"yarrowbarrow/decide/door"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/statement"
 	"yarrowbarrow/logic"
@@ -19,11 +21,9 @@
 // client is a connection from a client.
 type client struct {
 	*link
+	id     door.ConnID
 	jobs   map[uint32]*job // open, by stream
 	last   uint32          // highest stream so far
-	active time.Duration   // when it came, and when a frame last came or an answer went
-	spoke  bool            // a whole frame has come
-	front  bool            // asked whether the controller is ready
 	gone   bool
 	faulty atomic.Bool // read no further
 }
@@ -31,19 +31,20 @@
 type clientKey struct{}
 
 // mostClients is half the descriptors: clients keep to a third by themselves, and past half ours would be short.
-func (c *Controller) mostClients() int { return c.cfg.Sockets / 2 }
+func mostClients(cfg config.Config) int { return cfg.Sockets / 2 }
 
 // accept makes the object of a new connection; netpoll calls it before any data is read.
 func (c *Controller) accept(conn netpoll.Connection) context.Context {
 	k := &client{jobs: map[uint32]*job{}}
 	c.do(func() {
-		if len(c.clients) >= c.mostClients() && !c.makeRoom() || c.phase == Stopped {
+		c.connected++
+		if k.id = c.connected; c.phase == Stopped || !c.door.Came(c.now, k.id) {
 			c.counts[clientsRefused]++
 			return
 		}
 		c.counts[clientsAccepted]++
-		k.link, k.active = newLink(c, conn), c.now
-		c.clients[k] = true
+		k.link = newLink(c, conn)
+		c.clients[k.id] = k
 		if c.phase >= Draining {
 			k.sendEmpty(frame.NoMore, 0)
 		}
@@ -59,34 +60,50 @@
 	return context.WithValue(context.Background(), clientKey{}, k)
 }
 
-// makeRoom guards newcomers against clients that keep their connections for good, or connect and say nothing: of
-// those without an open job, the one that would be closed next for its quiet goes.
-func (c *Controller) makeRoom() bool {
-	var quiet *client
-	for k := range c.clients {
-		if len(k.jobs) == 0 && (quiet == nil || k.quietUntil() < quiet.quietUntil()) {
-			quiet = k
-		}
-	}
-	if quiet == nil {
-		return false
+// doorHost carries out what the door decides about clients' connections.
+type doorHost struct{ c *Controller }
+
+func (h doorHost) State(id door.ConnID) door.State {
+	k := h.c.clients[id]
+	return door.State{Jobs: len(k.jobs), Unsent: k.backlog() > 0, Half: k.halfSince(h.c.now)}
+}
+
+func (h doorHost) Unread(id door.ConnID) bool { return h.c.clients[id].unread() }
+
+func (h doorHost) AskToLeave(id door.ConnID) {
+	c, k := h.c, h.c.clients[id]
+	c.counts[clientsAsked]++
+	k.sendEmpty(frame.NoMore, 0)
+	k.then(func() { c.door.Told(c.now, id) })
+}
+
+func (h doorHost) End(id door.ConnID, why door.Why) {
+	if why == door.ForNewcomer {
+		h.c.counts[clientsEvicted]++
+	} else {
+		h.c.counts[clientsIdle]++
 	}
-	c.counts[clientsEvicted]++
-	c.drop(quiet)
-	return true
+	h.c.drop(h.c.clients[id])
 }
 
-// drop closes a connection at once.
+func (h doorHost) Misread(id door.ConnID) { h.c.misread(h.c.clients[id], errHalf) }
+
+// drop closes a connection at once. What is read on it from now on is not taken: its client sends it again.
 func (c *Controller) drop(k *client) {
 	k.gone = true
-	delete(c.clients, k)
+	c.forgetClient(k)
 	c.closeSoon(k.conn)
 }
 
+func (c *Controller) forgetClient(k *client) {
+	delete(c.clients, k.id)
+	c.door.Went(k.id)
+}
+
 func (c *Controller) clientClosed(k *client) {
 	k.link.closed()
 	k.gone = true
-	delete(c.clients, k)
+	c.forgetClient(k)
 	for _, stream := range sorted(k.jobs) {
 		if j := k.jobs[stream]; j != nil {
 			c.clientGone(j)
@@ -122,8 +139,7 @@
 			})
 		case frame.Ready:
 			calls = append(calls, func() {
-				k.heard()
-				k.front = true
+				c.door.Front(c.now, k.id)
 				code := byte(1)
 				if c.phase != Ready {
 					code = 2
@@ -181,7 +197,7 @@
 }
 
 // heard keeps a connection from being idle.
-func (k *client) heard() { k.active, k.spoke = k.c.now, true }
+func (k *client) heard() { k.c.door.Heard(k.c.now, k.id) }
 
 // fields of a job, as they came.
 type fields struct{ name, id, wait, once, cost, memory, customer []byte }
@@ -286,7 +302,9 @@
 			return
 		}
 		c.counts[jobsTaken]++
-		c.jobCame = c.now
+		if c.exit != nil {
+			c.exit.JobCame(c.now)
+		}
 		k.jobs[stream] = j
 		// Guards the machine: it must not die of what it holds. The job never ran, so a retry does no harm.
 		if most := c.cfg.Settings.OpenCap; c.full(len(j.statement)) || most > 0 && len(c.jobs) >= most ||
@@ -409,42 +427,13 @@
 // closeSoon closes a connection without the lock, as the callbacks that follow take it.
 func (c *Controller) closeSoon(conn netpoll.Connection) { go conn.Close() }
 
-// silentClient guards against connections that say nothing, or begin a frame and do not end it; a client that has
-// something to ask sends it in a trip or two. idleClient is above the 4 s after which clients close by themselves,
-// and frontIdle for the connections on which the front asks.
-const silentClient, idleClient, frontIdle = 2 * time.Second, 6 * time.Second, time.Minute
-
-// quietUntil is how long a connection without an open job may say nothing.
-func (k *client) quietUntil() time.Duration {
-	switch {
-	case k.front:
-		return k.active + frontIdle
-	case k.spoke:
-		return k.active + idleClient
-	}
-	return k.active + silentClient
-}
-
-func (c *Controller) sweepClients() {
-	for k := range c.clients {
-		switch {
-		case k.gone || k.faulty.Load():
-		case k.halfSince(c.now) > silentClient:
-			c.misread(k, errHalf)
-		case len(k.jobs) == 0 && c.now > k.quietUntil():
-			c.counts[clientsIdle]++
-			k.end()
-		}
-	}
-}
-
 // drain begins the way to the exit: clients are told to send nothing new here, and what still comes is served.
 func (c *Controller) drain() {
 	if c.phase != Ready {
 		return
 	}
 	c.enter(Draining)
-	for k := range c.clients {
+	for _, k := range c.clients {
 		k.sendEmpty(frame.NoMore, 0)
 	}
 	// The platform lets connections and jobs come for 0.6 s after the signal, and kills no sooner than 0.7 s and
@@ -454,18 +443,24 @@
 		longest = max(longest, t.JobTimeout)
 	}
 	first := c.now + 700*time.Millisecond
-	c.at(first, func() { c.leave(first + min(longest, 3*time.Second) - 200*time.Millisecond) })
+	c.exit = door.NewExit(first, first+min(longest, 3*time.Second)-200*time.Millisecond)
+	c.at(first, c.leave)
 }
 
-// lastJobs is how long no job has come when the process ends: several times the trip of the word that it leaves.
-const lastJobs = 100 * time.Millisecond
-
-// leave ends the process once nothing is owed, or answers what is left when the time is over.
-func (c *Controller) leave(last time.Duration) {
+// leave ends the process once nothing is owed, or answers what is left when the time is over. What was sent before the
+// client heard that we leave, and lies unread, is owed too: it would be lost with the connection.
+func (c *Controller) leave() {
 	if c.phase == Draining {
 		c.enter(Leaving)
 	}
-	if c.now >= last {
+	owed := 0
+	for _, k := range c.clients {
+		if len(k.jobs) > 0 || k.backlog() > 0 || k.unread() {
+			owed++
+		}
+	}
+	cut, end, next := c.exit.Round(c.now, owed)
+	if cut {
 		for _, id := range sorted(c.jobs) {
 			if j := c.jobs[id]; j != nil && j.client != nil {
 				c.counts[cutByExit]++
@@ -473,18 +468,9 @@
 			}
 		}
 	}
-	// Guards against what was sent before the client heard that we leave and is read late, by a machine that stood
-	// still: its job may be behind the next read, and would be lost with the connection.
-	owed := 0
-	if c.now < c.jobCame+lastJobs {
-		owed++
-	}
-	for k := range c.clients {
-		owed += len(k.jobs) + k.backlog()
-	}
-	if owed == 0 || c.now >= last+100*time.Millisecond {
+	if end {
 		c.fail(nil)
 		return
 	}
-	c.at(c.now+10*time.Millisecond, func() { c.leave(last) })
+	c.at(next, c.leave)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
+	"yarrowbarrow/decide/door"
 	"yarrowbarrow/decide/route"
 	"yarrowbarrow/logic"
 )
@@ -57,7 +58,10 @@
 	plan      *route.Plan   // the newest
 	rng       *rand.Rand    // for pauses between tries to reach the feed
 	jobs      map[logic.JobID]*job
-	clients   map[*client]bool
+	clients   map[door.ConnID]*client
+	connected door.ConnID // the newest
+	door      *door.Door
+	exit      *door.Exit // nil until told to stop
 	engines   map[logic.EngineID]*engine
 	probes    map[string]*probe
 	fences    map[string]*dispatch
@@ -68,9 +72,8 @@
 	queue     []func()
 	lines     []slog.Record
 	counts    [counters]int64
-	bytes     int64         // of statements and pages
-	held      atomic.Int64  // bytes that connections keep: unsent, or of messages that are not whole
-	jobCame   time.Duration // when the last one did
+	bytes     int64        // of statements and pages
+	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
 	panics    []time.Duration
 	logged    time.Duration // when the counters last were
 	listener  netpoll.EventLoop
@@ -79,10 +82,11 @@
 // New prepares a controller; Run starts it.
 func New(cfg config.Config, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
-		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[*client]bool{},
+		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*dispatch{}}
 	c.feed = &feed{c: c, address: cfg.Feed}
+	c.door = door.New(doorHost{c}, mostClients(cfg))
 	return c
 }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
+	"yarrowbarrow/decide/door"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/resp"
 	"yarrowbarrow/logic"
@@ -780,24 +781,27 @@
 	silent, half := dial(), dial()
 	half.write([]byte{0, 0, 1, 0, frame.Job})
 	b.until(func() bool {
-		for k := range b.c.clients {
+		for _, k := range b.c.clients {
 			if k.half.Load() > 0 {
 				return true
 			}
 		}
 		return false
 	})
-	b.c.do(func() {
-		b.c.now += silentClient + time.Second
-		b.c.sweepClients()
+	b.until(func() bool { // it is asked to leave, that word leaves, and two looks find nothing
+		b.c.now += door.Silent + time.Second
+		b.c.door.Sweep(b.c.now)
+		return b.c.counts[clientsIdle] == 1
 	})
+	silent.gets(frame.NoMore, 0, 0, "")
 	silent.closes()
 	half.gets(frame.Answer, 0, frame.CancelledFor, "")
 	half.closes()
 	first := dial()
-	for range b.c.mostClients() {
+	for range b.c.door.Most() {
 		b.client()
 	}
+	first.gets(frame.NoMore, 0, 0, "")
 	first.closes()
 }
 
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -13,6 +13,7 @@
 	clientsAccepted counter = iota
 	clientsRefused
 	clientsEvicted
+	clientsAsked
 	clientsMisread
 	clientsTooSlow
 	clientsIdle
@@ -61,7 +62,7 @@
 	counters
 )
 
-var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_evicted", "clients_misread",
+var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_evicted", "clients_asked", "clients_misread",
 	"clients_too_slow", "clients_idle", "jobs_taken", "jobs_misread", "jobs_over_limit", "client_gone", "done",
 	"throttled", "cancelled_for_good", "cut_by_exit", "answers_late", "alarms_late", "dispatched", "outcome_done", "outcome_errored",
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
--- a/controller/link.go
+++ b/controller/link.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -17,6 +18,7 @@
 	conn netpoll.Connection
 	rest []byte
 	wake chan struct{}
+	busy atomic.Int32 // reads under way, which hold what netpoll's buffer no longer shows
 	half atomic.Int64 // when the message that is not whole yet began, by the controller's clock, or 0
 
 	mu            sync.Mutex
@@ -183,12 +185,30 @@
 	return 0
 }
 
+// unread tells whether anything came that has not been taken in: by a read that waits for the lock, in netpoll's
+// buffer, or in the kernel's, where it lies while the process stands still. A look that the kernel refuses tells
+// nothing.
+func (l *link) unread() bool {
+	if l.busy.Load() > 0 || l.conn.Reader().Len() > 0 {
+		return true
+	}
+	conn, ok := l.conn.(netpoll.Conn)
+	if !ok {
+		return false
+	}
+	var look [1]byte
+	n, _, err := syscall.Recvfrom(conn.Fd(), look[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // maxRest is what an idle connection may keep of a buffer for messages in parts.
 const maxRest = 16 << 10
 
 // read takes all that has come, as netpoll calls again at once while anything is left. next reads one message
 // in place and gives its size, 0 while it is not whole; then is called before the bytes are given back.
 func (l *link) read(next func(data []byte) (size int, err error), then func()) error {
+	l.busy.Add(1)
+	defer l.busy.Add(-1)
 	r := l.conn.Reader()
 	data, err := r.Next(r.Len())
 	if err != nil {
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -61,7 +61,7 @@
 const countersEvery = 10 * time.Second
 
 func (c *Controller) sweep() {
-	c.sweepClients()
+	c.door.Sweep(c.now)
 	c.sweepEngines()
 	if c.now >= c.logged+countersEvery {
 		c.logCounters()
--- /dev/null
+++ b/lab/fleet/process.go
@@ -0,0 +1,175 @@
+// Package fleet runs real processes of the program between stand-ins on loopback addresses, and puts faults on them.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Setup is the platform's configuration of one controller.
+type Setup struct {
+	Name     string          `json:"name"`
+	Listen   string          `json:"listen"`
+	Seed     string          `json:"seed"`
+	Feed     string          `json:"feed"`
+	Known    json.RawMessage `json:"known"`
+	Limits   Limits          `json:"limits"`
+	Settings any             `json:"settings"`
+}
+
+// Limits of a controller's machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Process is one controller. Its methods may be called from anywhere.
+type Process struct {
+	Setup
+	program, file string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{} // closed when the present life is over
+	err   error
+	log   tail
+}
+
+// FreeAddress picks a loopback address that nobody listens on.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// NewProcess prepares a controller of a built program; its configuration goes into a folder.
+func NewProcess(program, folder string, setup Setup) *Process {
+	return &Process{Setup: setup, program: program, file: filepath.Join(folder, setup.Name+".json")}
+}
+
+// Start begins a life of the process and waits until it listens, or for as long as is given.
+func (p *Process) Start(within time.Duration) error {
+	raw, err := json.Marshal(p.Setup)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.file, raw, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(p.program)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+p.file)
+	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	// A rig that is killed takes its processes with it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("starting %s: %w", p.Name, err)
+	}
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.ended, p.err = cmd, ended, nil
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(ended)
+	}()
+	for until := time.Now().Add(within); ; {
+		conn, err := net.Dial("tcp", p.Listen)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("%s ended before it served: %w\n%s", p.Name, errors.Join(p.Err(), err), p.Log())
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("%s does not listen: %w\n%s", p.Name, err, p.Log())
+		}
+	}
+}
+
+// Signal sends one to the present life: SIGSTOP and SIGCONT for a standstill, SIGTERM, SIGHUP, SIGKILL.
+func (p *Process) Signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return fmt.Errorf("%s was not started", p.Name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Ended is closed when the present life is over.
+func (p *Process) Ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// Err tells how the last life ended: nil with exit code 0.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Kill ends the present life, if there is one, and waits for its end.
+func (p *Process) Kill() {
+	if p.Ended() != nil {
+		_ = p.Signal(syscall.SIGKILL) // which also ends one that is stopped; an error tells that it is over
+		<-p.Ended()
+	}
+}
+
+// PID of the present life, or 0.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Log is the end of what all lives wrote.
+func (p *Process) Log() string { return p.log.String() }
+
+// tail keeps the last of what is written to it.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// mostLog of each process is kept: some hundred lines.
+const mostLog = 64 << 10
+
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, b...)
+	if over := len(t.text) - 2*mostLog; over > 0 {
+		t.text = bytes.Clone(t.text[len(t.text)-mostLog:])
+	}
+	return len(b), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
+}
--- /dev/null
+++ b/lab/fleet/standstill_test.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/engine"
+	"yarrowbarrow/lab/standin/feed"
+)
+
+// patience bounds every wait of these tests.
+const patience = 20 * time.Second
+
+var program string
+
+// TestMain builds the program once.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "yarrowbarrow")
+	if out, err := exec.Command("go", "build", "-o", program, "yarrowbarrow/cmd/yarrowbarrow").CombinedOutput(); err != nil {
+		panic(fmt.Sprint(err, "\n", string(out)))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// The job timeout is short, so that a process that is told to stop has to go 1.5 s later.
+const shortSettings = `{"balancers":1,"rank":0,"zone":"east","tick":5000000,"discovery":"pushed",
+"classes":[{"name":"quick","aim":500000000,"deadline":1000000000,"gain":1,"late_worth":0.3,"repeat":"retryable"}],
+"machine_types":["std"],"family_info":{"kind_cores":[64],"ram_of_kind_mb":[8192],"width_by_class":[1]},
+"permissions":{"connect_timeout":250000000,"idle_close":15000000000,"max_attempts":3,"max_retry_after":1000000000,
+"may_cancel":true,"probes":true,"retry_after":true,"streams_per_conn":32,"open_cap":20000}}`
+
+// alone is one process of the program between a stand-in engine and a feed.
+func alone(t *testing.T, sockets int) *Process {
+	t.Helper()
+	e, err := engine.Start("127.0.0.1:0", engine.Options{Cores: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Die)
+	f, err := feed.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	f.Tell(true, feed.Host{Host: "e", Dial: e.Address(), Site: "east", Class: "std", Health: "active"})
+	address, err := FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewProcess(program, t.TempDir(), Setup{Name: "n", Listen: address, Seed: "1", Feed: f.Address(),
+		Known: f.Since(0), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: sockets},
+		Settings: json.RawMessage(shortSettings)})
+	if err := p.Start(patience); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	return p
+}
+
+// guest is a client that keeps account of its answers.
+type guest struct {
+	*load.Client
+	t    *testing.T
+	name int
+	sent int
+	open sync.WaitGroup
+
+	mu   sync.Mutex
+	lost error
+}
+
+func visit(t *testing.T, p *Process, name int) *guest {
+	t.Helper()
+	c, err := load.Dial(p.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return &guest{Client: c, t: t, name: name}
+}
+
+func (g *guest) ask() {
+	g.t.Helper()
+	g.open.Add(1)
+	g.sent++
+	err := g.Ask(load.Job{Type: "quick", ID: fmt.Sprintf("%08x%08x", g.name, g.sent), Wait: 10 * time.Second,
+		Statement: "select 1"}, func(a load.Answer, err error) {
+		defer g.open.Done()
+		if err == nil && a.Code != frame.Done && a.Code != frame.Throttled {
+			err = fmt.Errorf("code %d", a.Code)
+		}
+		if err != nil {
+			g.mu.Lock()
+			g.lost = fmt.Errorf("guest %d: %w", g.name, err)
+			g.mu.Unlock()
+		}
+	})
+	if err != nil {
+		g.t.Fatal("guest ", g.name, ": ", err)
+	}
+}
+
+// answered waits for all answers and gives what went wrong.
+func (g *guest) answered() error {
+	g.t.Helper()
+	all := make(chan struct{})
+	go func() { g.open.Wait(); close(all) }()
+	select {
+	case <-all:
+	case <-time.After(patience):
+		g.t.Fatal("guest ", g.name, " waits in vain")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lost
+}
+
+func (p *Process) must(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStandstillAtTheDoor: all places are taken by clients that asked once and stay. While the process stands still,
+// newcomers come for whom some would have to go, and then each of those inside asks once more. No job of theirs is
+// lost: none is sent away with a job unread on its connection.
+func TestStandstillAtTheDoor(t *testing.T) {
+	t.Parallel()
+	p := alone(t, 64)
+	var inside []*guest
+	for n := range 28 { // below the number from which the quietest are asked to leave
+		g := visit(t, p, n+1)
+		g.ask()
+		if err := g.answered(); err != nil {
+			t.Fatal(err)
+		}
+		inside = append(inside, g)
+	}
+	time.Sleep(4500 * time.Millisecond) // so that they are the quietest, and not those who come
+	p.must(t, syscall.SIGSTOP)
+	for n := range 24 {
+		visit(t, p, 100+n)
+	}
+	for _, g := range inside {
+		g.ask()
+	}
+	p.must(t, syscall.SIGCONT)
+	for _, g := range inside {
+		if err := g.answered(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestStandstillOfQuiet: a client is quiet for longer than a connection may be, as the process stood still, and another
+// had sent half a message. Both go on in the standstill, and are answered.
+func TestStandstillOfQuiet(t *testing.T) {
+	t.Parallel()
+	p := alone(t, 64)
+	quiet := visit(t, p, 1)
+	quiet.ask()
+	if err := quiet.answered(); err != nil {
+		t.Fatal(err)
+	}
+	half := newHalf(t, p, 1)
+	half.greet()
+	half.begin()
+	p.must(t, syscall.SIGSTOP)
+	time.Sleep(6500 * time.Millisecond) // more than 6 s of quiet, and 2 s of half a message
+	quiet.ask()
+	half.rest()
+	p.must(t, syscall.SIGCONT)
+	if err := quiet.answered(); err != nil {
+		t.Error(err)
+	}
+	half.answered()
+}
+
+// TestStandstillWhileLeaving: a process that was told to stop stands still until after it has to be gone. What was sent
+// to it meanwhile, on connections that it had and on ones that nobody accepted yet, is answered all the same.
+func TestStandstillWhileLeaving(t *testing.T) {
+	t.Parallel()
+	p := alone(t, 256)
+	var clients []*half
+	for n := range 8 {
+		h := newHalf(t, p, n)
+		h.greet()
+		clients = append(clients, h)
+	}
+	p.must(t, syscall.SIGTERM)
+	for _, h := range clients {
+		h.reads(frame.NoMore)
+	}
+	p.must(t, syscall.SIGSTOP)
+	for n := range 8 {
+		clients = append(clients, newHalf(t, p, 8+n))
+	}
+	for _, h := range clients {
+		h.whole()
+	}
+	time.Sleep(2 * time.Second) // the last moment is 1.5 s after the signal
+	p.must(t, syscall.SIGCONT)
+	for _, h := range clients {
+		h.answered()
+	}
+	select {
+	case <-p.Ended():
+		if err := p.Err(); err != nil {
+			t.Error(err, p.Log())
+		}
+	case <-time.After(patience):
+		t.Error("does not end")
+	}
+}
