--- a/logic/logic.go
+++ b/logic/logic.go
@@ -121,8 +121,10 @@
 	widest         float64       // threads of the widest type
 	shortest       time.Duration // least SLA time
 	many           float64       // controllers
+	up, cold       float64       // engines that take jobs, and those of them that are cold
 	homes          float64       // engines that the bounds are dealt out to
-	bound, threads float64       // as an engine's, over all in use
+	entire         float64       // all bounds
+	bound, threads float64       // as an engine's, over all in use; a cold one's bound is what it has
 	common         bool          // most are suspected
 	credit         float64       // thread seconds of the bounds left unused of late, when metered
 	metered        time.Duration
@@ -334,23 +336,25 @@
 	if c.now >= c.ranked+c.set.Tick {
 		c.rank()
 	}
-	for c.fleet(); len(c.held) > 0 && c.roomFor(1); c.fleet() {
+	for c.fleet(); len(c.held) > 0 && (c.cold > 0 || c.roomFor(1)); c.fleet() {
 		var to *engine
 		var barred []*job // from all engines, so that no other of their type and set of engines is tried
 		var full []any    // sets that a job before waits for
+		coldOnly := false // a job before waits for the others
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			fresh := j.line == nil && j.sent == 0
 			if fresh && barredLike(barred, j) || j.set != nil && slices.Contains(full, j.set) {
 				return false
 			}
-			if to, waits = c.choose(j); to != nil {
+			if to, waits = c.choose(j, coldOnly); to != nil {
 				return true
 			} else if fresh && !waits && (j.place == nil || j.place.Room()) {
 				barred = append(barred, j)
 			} else if waits && j.set != nil && c.roomFor(j.row.Threads) {
 				full, waits = append(full, j.set), false // others' engines may have room
 			}
-			return waits
+			coldOnly = coldOnly || waits
+			return waits && c.cold == 0
 		})
 		if to == nil {
 			return
@@ -366,20 +370,26 @@
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
 // narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
+// Cold engines are left to coldAllows: guards the others against jobs for which only the cold have bounds.
 func (c *Controller) fleet() {
 	most := c.widest / 2 * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
 	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
-	var up, bad, badBound, badThreads float64
-	c.metered, c.bound, c.threads = c.now, 0, 0
+	var bad, badBound, badThreads float64
+	c.metered, c.up, c.cold, c.entire, c.bound, c.threads = c.now, 0, 0, 0, 0, 0
 	for _, e := range c.engines {
-		if e.state == Up {
-			up, c.bound, c.threads = up+1, c.bound+e.bound, c.threads+e.threads
-			if e.suspected {
-				bad, badBound, badThreads = bad+1, badBound+e.bound, badThreads+e.threads
-			}
+		if e.state != Up {
+			continue
+		}
+		bound := e.bound
+		if c.isCold(e) {
+			c.cold, bound = c.cold+1, e.threads
+		}
+		c.up, c.entire, c.bound, c.threads = c.up+1, c.entire+e.bound, c.bound+bound, c.threads+e.threads
+		if e.suspected {
+			bad, badBound, badThreads = bad+1, badBound+bound, badThreads+e.threads
 		}
 	}
-	if c.common = 3*bad > 2*up; !c.common {
+	if c.common = 3*bad > 2*c.up; !c.common {
 		c.bound, c.threads = c.bound-badBound, c.threads-badThreads
 	}
 }
@@ -399,14 +409,18 @@
 
 // deal guards against bounds narrower than a job, which are none: they are dealt out anew to so few engines
 // as have room for the widest job each, the homes. By number, controllers start from places spread evenly.
+// None of them drains, or a release would leave some controllers without any.
 func (c *Controller) deal() {
-	c.homes = math.Max(1, math.Min(math.Ceil(c.bound/c.widest), float64(len(c.engines))))
-	first := int(float64(c.set.Number) * float64(len(c.engines)) / c.many)
-	for i, e := range c.engines {
-		e.dealt = 0
-		if (i-first+len(c.engines))%len(c.engines) < int(c.homes) {
-			e.dealt = e.bound * float64(len(c.engines)) / c.homes
+	c.homes = math.Max(1, math.Min(math.Ceil(c.entire/c.widest), c.up))
+	first, i := int(float64(c.set.Number)*c.up/c.many), 0
+	for _, e := range c.engines {
+		if e.dealt = 0; e.state != Up {
+			continue
+		}
+		if (i-first+int(c.up))%int(c.up) < int(c.homes) {
+			e.dealt = e.bound * c.up / c.homes
 		}
+		i++
 	}
 }
 
@@ -416,17 +430,22 @@
 }
 
 // choose gives the engine with most room among those that the rules and its health allow. Without one,
-// waits tells that only room is lacking: others wait behind such a job, not behind one held by a rule.
-func (c *Controller) choose(j *job) (best *engine, waits bool) {
+// waits tells that only room is lacking: others wait behind such a job, not behind one held by a rule, and
+// not for cold engines.
+func (c *Controller) choose(j *job, coldOnly bool) (best *engine, waits bool) {
 	if !c.mayLeave(j) {
 		return nil, false
 	}
 	most := math.Inf(-1)
-	if waits = true; !c.roomFor(j.row.Threads) {
+	if coldOnly = coldOnly || !c.roomFor(j.row.Threads); coldOnly && c.cold == 0 {
 		return nil, true
 	}
+	waits = true
 	c.deal()
 	for _, e := range c.engines {
+		if coldOnly && !c.isCold(e) {
+			continue
+		}
 		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
 			waits = waits && (e.state != Up || !j.placed(e))
 			continue
@@ -436,7 +455,7 @@
 			best, most = e, score
 		}
 	}
-	return best, waits
+	return best, waits || coldOnly
 }
 
 // liking weighs, in threads, what tells engines of nearly equal room apart.
@@ -524,13 +543,11 @@
 // spread by number over as many spans as it needs parts; clocks need only roughly agree. A start is taken to
 // ramp up along half a line. Harm: an engine that stays at its least, or lists that differ for long.
 func (c *Controller) coldAllows(j *job, e *engine) bool {
-	if e.since == 0 || c.set.Fall == 0 || c.now-e.since >= c.set.Cold {
+	if !c.isCold(e) {
 		return true
 	}
-	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
-	now := c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
-	whole := coldShare * c.set.FallMultiple * now * 0.85 * e.cores * float64(c.set.Fall)
-	part := whole * float64(len(c.engines)) / (c.homes * c.many)
+	whole := coldShare * c.set.FallMultiple * c.warmth(e) * 0.85 * e.cores * float64(c.set.Fall)
+	part := whole * c.up / (c.homes * c.many)
 	work := float64(c.usualWork(j))
 	turns := math.Max(1, math.Ceil(work/part))
 	_, turn := math.Modf(float64(c.now)/float64(c.set.Fall)/turns + float64(c.set.Number)*math.Phi)
@@ -544,6 +561,16 @@
 	return work <= turns*part
 }
 
+func (c *Controller) isCold(e *engine) bool {
+	return e.since != 0 && c.set.Fall != 0 && c.now-e.since < c.set.Cold
+}
+
+// warmth is the share of its capacity that a cold engine surely has.
+func (c *Controller) warmth(e *engine) float64 {
+	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
+	return c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
+}
+
 func (c *Controller) usualWork(j *job) time.Duration {
 	return time.Duration(cmp.Or(j.row.work.value, float64(j.row.SLATime)*j.row.Threads))
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -191,6 +191,20 @@
 			h.after(8 * time.Second)
 		}
 	})
+	// Half of the engines are cold: a job for which only they have bounds waits, a narrow one passes it to a cold home.
+	run(t, "cold_bounds_are_no_room_elsewhere", func(h *bench) {
+		h.start(func(s *Settings) { s.Controllers, s.Number = 10, 3 })
+		h.up("a", "b", "c", "d")
+		for _, e := range []EngineID{"e", "f", "g", "h"} {
+			h.list(e, Up, h.now-time.Second)
+		}
+		h.take("wide", "report", "", 20*time.Second)
+		h.take("waits", "report", "", 20*time.Second)
+		h.take("narrow", "lookup", "", 5*time.Second)
+		h.take("second", "lookup", "", 5*time.Second)
+		h.after(100 * ms)
+		h.over("wide", 0, "d", Done)
+	})
 	run(t, "memory_granted_shrinks_bounds", func(h *bench) {
 		h.start(nil)
 		h.up("a")
@@ -228,3 +242,42 @@
 		h.after(time.Second)
 	})
 }
+
+// TestHomes: engines that drain are no homes, those that are left are homes of equally many controllers, within one.
+func TestHomes(t *testing.T) {
+	const controllers = 40
+	homes := map[EngineID]int{}
+	for number := range controllers {
+		h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
+		h.start(func(s *Settings) { s.Controllers, s.Number = controllers, number })
+		for n := range 20 {
+			h.list(EngineID(fmt.Sprintf("e%02d", n)), Up, 0)
+		}
+		for n := range 20 {
+			if n%5 < 3 {
+				h.list(EngineID(fmt.Sprintf("e%02d", n)), Draining, 0)
+			}
+		}
+		h.c.deal()
+		own := 0
+		for _, e := range h.c.engines {
+			if e.dealt > 0 {
+				homes[e.id]++
+				own++
+			}
+			if e.dealt > 0 && e.state != Up {
+				t.Error(number, "has a home that drains:", e.id)
+			}
+		}
+		if own != int(h.c.homes) {
+			t.Error(number, "has", own, "homes of", h.c.homes)
+		}
+	}
+	least, most := controllers, 0
+	for _, n := range homes {
+		least, most = min(least, n), max(most, n)
+	}
+	if len(homes) != 8 || most > least+1 {
+		t.Error(homes)
+	}
+}
