A fleet of real processes between stand-ins, with figures of how evenly engines are used

Need: load over hundreds of controllers is to be even, and nothing of it is to be changed before it is measured.

--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -12,7 +12,8 @@
 )
 
 type serveCommand struct {
-	Operators string `env:"BALANCER_OPERATORS" type:"path" placeholder:"FILE" help:"The operators' file; none: every job may go to every engine that its type allows."`
+	change    func(*controller.Controller) // before it runs, or nil
+	Operators string                                      `env:"BALANCER_OPERATORS" type:"path" placeholder:"FILE" help:"The operators' file; none: every job may go to every engine that its type allows."`
 }
 
 func (serveCommand) Help() string {
@@ -36,6 +37,9 @@
 		return errFindings
 	}
 	c := controller.New(cfg, log.With("name", cfg.Name))
+	if s.change != nil {
+		s.change(c)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	show := make(chan os.Signal, 1)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -53,7 +53,8 @@
 	mu        sync.Mutex
 	now       time.Duration // Unix time at the start and what the monotonic clock added since
 	phase     Phase
-	logic     *logic.Controller
+	logic     logic.Module
+	module    func(logic.Host, logic.Settings, int64) logic.Module
 	router    *route.Router // nil without an operators' file
 	plan      *route.Plan   // the newest
 	rng       *rand.Rand    // for pauses between tries to reach the feed
@@ -85,11 +86,15 @@
 		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*dispatch{}}
+	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return logic.New(h, s, seed) }
 	c.feed = &feed{c: c, address: cfg.Feed}
 	c.door = door.New(doorHost{c}, mostClients(cfg))
 	return c
 }
 
+// Decide has another module decide than the one that serves, for baselines. It is for before Run.
+func (c *Controller) Decide(module func(logic.Host, logic.Settings, int64) logic.Module) { c.module = module }
+
 // Run serves until the context ends and all that is owed is answered, or until an error that it can't survive.
 func (c *Controller) Run(ctx context.Context) error {
 	limit(c.cfg)
@@ -104,7 +109,7 @@
 	c.timer = time.NewTimer(time.Hour)
 	go c.keepTime()
 	c.do(func() {
-		c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
+		c.logic = c.module(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
 		c.adopt(c.cfg.Plan, table)
 		if err = c.feed.remembered(c.cfg.Known); err != nil {
 			return
@@ -269,7 +274,7 @@
 		j.out = nil
 		c.forget(j)
 	}
-	c.logic = logic.New(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
+	c.logic = c.module(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
 	if c.router != nil {
 		c.router = nil
 		c.adopt(c.plan, route.NewTable(c.plan, nil))
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -37,6 +37,7 @@
 type Process struct {
 	Setup
 	program, file string
+	args          []string
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -56,8 +57,8 @@
 }
 
 // NewProcess prepares a controller of a built program; its configuration goes into a folder.
-func NewProcess(program, folder string, setup Setup) *Process {
-	return &Process{Setup: setup, program: program, file: filepath.Join(folder, setup.Name+".json")}
+func NewProcess(program, folder string, setup Setup, args ...string) *Process {
+	return &Process{Setup: setup, program: program, args: args, file: filepath.Join(folder, setup.Name+".json")}
 }
 
 // Start begins a life of the process and waits until it listens, or for as long as is given.
@@ -69,7 +70,7 @@
 	if err := os.WriteFile(p.file, raw, 0o600); err != nil {
 		return err
 	}
-	cmd := exec.Command(p.program)
+	cmd := exec.Command(p.program, p.args...)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+p.file)
 	cmd.Stdout, cmd.Stderr = &p.log, &p.log
 	// A rig that is killed takes its processes with it.
--- a/lab/fleet/standstill_test.go
+++ b/lab/fleet/standstill_test.go
@@ -84,7 +84,7 @@
 	lost error
 }
 
-func visit(t *testing.T, p *Process, name int) *guest {
+func newGuest(t *testing.T, p *Process, name int) *guest {
 	t.Helper()
 	c, err := load.Dial(p.Listen)
 	if err != nil {
@@ -145,7 +145,7 @@
 	p := alone(t, 64)
 	var inside []*guest
 	for n := range 28 { // below the number from which the quietest are asked to leave
-		g := visit(t, p, n+1)
+		g := newGuest(t, p, n+1)
 		g.ask()
 		if err := g.answered(); err != nil {
 			t.Fatal(err)
@@ -155,7 +155,7 @@
 	time.Sleep(4500 * time.Millisecond) // so that they are the quietest, and not those who come
 	p.must(t, syscall.SIGSTOP)
 	for n := range 24 {
-		visit(t, p, 100+n)
+		newGuest(t, p, 100+n)
 	}
 	for _, g := range inside {
 		g.ask()
@@ -173,7 +173,7 @@
 func TestStandstillOfQuiet(t *testing.T) {
 	t.Parallel()
 	p := alone(t, 64)
-	quiet := visit(t, p, 1)
+	quiet := newGuest(t, p, 1)
 	quiet.ask()
 	if err := quiet.answered(); err != nil {
 		t.Fatal(err)
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -18,11 +18,35 @@
 	Cores int           // jobs that run at once, 1 or more
 	Cold  time.Duration // after a start it runs slower for so long, from a third of its speed up
 	Row   string        // each result has this one row
+	Watch func(Event)   // is told what takes place, under the engine's lock: it must not call the engine
 }
 
+// Event is what took place at an engine.
+type Event struct {
+	At   time.Time
+	What What
+	ID   string        // of the job
+	Work time.Duration // that it says of itself
+}
+
+// What took place.
+type What int
+
+const (
+	Came    What = iota // a job was read
+	Began               // it has a core
+	Ended               // it was answered
+	Dropped             // it was given up before it had a core
+	Stopped             // it is to be given up and has a core, which it keeps: engines need not stop
+	Lost                // it was lost with the engine's process
+	Dialled             // a connection came
+	Probed              // a probe
+)
+
 // Audit is what took place since the engine was made, over all its starts.
 type Audit struct {
-	Taken, Ran, Cancelled, Doubled int           // Doubled: ids that ran twice
+	Taken, Ran, Cancelled, Doubled int // Doubled: ids that ran twice
+	Dials, Probes                  int
 	Busy                           time.Duration // core time spent
 	Last                           time.Time     // when a job last came
 }
@@ -41,6 +65,7 @@
 	hung   bool
 	queue  []*run
 	active int
+	runs   map[*run]bool // that have a core
 	ran    map[string]int
 	audit  Audit
 }
@@ -60,7 +85,7 @@
 	if options.Row == "" {
 		options.Row = "a\tb\tc\n"
 	}
-	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, ran: map[string]int{}, slow: 1}
+	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, runs: map[*run]bool{}, ran: map[string]int{}, slow: 1}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -83,6 +108,8 @@
 			e.mu.Lock()
 			if e.life == life {
 				e.conns[conn] = true
+				e.audit.Dials++
+				e.tell(Dialled, &run{})
 				go e.serve(conn, life)
 			} else {
 				conn.Close()
@@ -109,9 +136,24 @@
 		_ = conn.Close()
 	}
 	clear(e.conns)
+	for r := range e.runs {
+		e.tell(Lost, r)
+	}
+	for _, r := range e.queue {
+		if !r.dropped {
+			e.tell(Lost, r)
+		}
+	}
+	clear(e.runs)
 	e.queue, e.active = nil, 0
 }
 
+func (e *Engine) tell(what What, r *run) {
+	if e.options.Watch != nil {
+		e.options.Watch(Event{At: time.Now(), What: what, ID: r.id, Work: r.work})
+	}
+}
+
 // Return starts it again at its address, cold.
 func (e *Engine) Return() error { return e.listen() }
 
@@ -189,6 +231,7 @@
 		r := &run{id: said[1], conn: conn, life: life, work: workIn(said[len(said)-1])}
 		e.audit.Taken++
 		e.audit.Last = time.Now()
+		e.tell(Came, r)
 		e.queue = append(e.queue, r)
 		e.next()
 	case "cancel":
@@ -196,9 +239,17 @@
 			if r.id == said[1] && !r.dropped {
 				r.dropped = true
 				e.audit.Cancelled++
+				e.tell(Dropped, r)
+			}
+		}
+		for r := range e.runs {
+			if r.id == said[1] {
+				e.tell(Stopped, r)
 			}
 		}
-	case "health":
+	case "health", "gauges":
+		e.audit.Probes++
+		e.tell(Probed, &run{})
 		if !e.hung {
 			answer(conn, said[1], "PONG", "-", "")
 		}
@@ -213,6 +264,8 @@
 			continue
 		}
 		e.active++
+		e.runs[r] = true
+		e.tell(Began, r)
 		takes := time.Duration(float64(r.work) * e.slow)
 		if age := time.Since(e.since); age < e.options.Cold {
 			takes = time.Duration(float64(takes) * 3 / (1 + 2*float64(age)/float64(e.options.Cold)))
@@ -228,6 +281,8 @@
 		return // lost with the process
 	}
 	e.active--
+	delete(e.runs, r)
+	e.tell(Ended, r)
 	e.ran[r.id]++
 	e.audit.Ran++
 	e.audit.Busy += took
--- a/lab/standin/feed/feed.go
+++ b/lab/standin/feed/feed.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,7 @@
 	conns  map[net.Conn]bool
 	events []json.RawMessage
 	newer  chan struct{} // closed when there are more
-	calls  int
+	calls  []time.Time   // the last of them, when they came
 }
 
 // Start listens on an address; port 0 picks one.
@@ -58,6 +59,16 @@
 // Address is where it listens.
 func (f *Feed) Address() string { return f.ln.Addr().String() }
 
+// Times gives when calls came, counted from a moment.
+func (f *Feed) Times(from time.Time) (at []time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.calls {
+		at = append(at, t.Sub(from))
+	}
+	return at
+}
+
 // Close ends it, with all calls.
 func (f *Feed) Close() {
 	_ = f.ln.Close()
@@ -124,6 +135,9 @@
 	return raw
 }
 
+// mostCalls are remembered: those of hundreds of controllers for minutes.
+const mostCalls = 100_000
+
 // mostWait is the protocol's.
 const mostWait = 5 * time.Second
 
@@ -140,7 +154,9 @@
 	}
 	late := time.After(min(time.Duration(wait)*time.Millisecond, mostWait))
 	f.mu.Lock()
-	f.calls++
+	if f.calls = append(f.calls, time.Now()); len(f.calls) > 2*mostCalls {
+		f.calls = slices.Clone(f.calls[mostCalls:])
+	}
 	newer := f.newer
 	waits := len(f.events) <= last
 	f.mu.Unlock()
--- a/logic/host.go
+++ b/logic/host.go
@@ -37,6 +37,23 @@
 	Log(line string)
 }
 
+// Module is what happens to a controller, the clock first. Controller is the one that serves; whatever else keeps to it
+// is a baseline to measure against.
+type Module interface {
+	ListBegins(now time.Duration, kind ListKind)
+	EngineListed(now time.Duration, id EngineID, location Location, kind KindName, cell Cell, health Health,
+		weight float64, since time.Duration)
+	ListEnds(now time.Duration)
+	JobTaken(now time.Duration, id JobID, name TypeName, customer CustomerID, key Key, expires, cost time.Duration,
+		memory float64, tables Tables, repeat bool, place Placement)
+	Placed(now time.Duration, id JobID, place Placement, none bool)
+	ClientGone(now time.Duration, id JobID)
+	DispatchOver(now time.Duration, id JobID, n int, engine EngineID, o Outcome, took time.Duration, over bool,
+		work time.Duration, memory float64, load Load)
+	TimerDue(now time.Duration, t TimerID)
+	ProbeAnswered(now time.Duration, engine EngineID, o Outcome, took time.Duration, load Load)
+}
+
 // Placement narrows a job's engines beyond what the rules allow, never widens them. Jobs of one set of engines wait
 // for room behind one another, not behind those of another set.
 type Placement interface {
