--- a/controller/controller.go
+++ b/controller/controller.go
@@ -93,7 +93,9 @@
 }
 
 // Decide has another module decide than the one that serves, for baselines. It is for before Run.
-func (c *Controller) Decide(module func(logic.Host, logic.Settings, int64) logic.Module) { c.module = module }
+func (c *Controller) Decide(module func(logic.Host, logic.Settings, int64) logic.Module) {
+	c.module = module
+}
 
 // Run serves until the context ends and all that is owed is answered, or until an error that it can't survive.
 func (c *Controller) Run(ctx context.Context) error {
