Stand-in engines share their cores among jobs; fleet addresses are nobody's near end

Change: processor sharing with a most of jobs, what comes beyond is turned away, a cancelled job ends; each controller and engine of the fleet has a loopback address of its own.

--- a/cmd/yarrowbarrow/fleet.go
+++ b/cmd/yarrowbarrow/fleet.go
@@ -20,7 +20,7 @@
 type fleetCommand struct {
 	Controllers int           `default:"100" help:"Processes of this program, 1 to 400."`
 	Engines     int           `default:"20" help:"Stand-in engines, 1 to 500."`
-	Cores       int           `default:"4" help:"Of each engine; its jobs wait in line for one each."`
+	Cores       int           `default:"4" help:"Of each engine; its jobs share them."`
 	PerSecond   float64       `default:"8" help:"Jobs a second that a controller gets in the mean, of 76 ms core time each; some get several times as many."`
 	Length      time.Duration `default:"15s" help:"How long the load lasts."`
 	Seed        int64         `default:"1" help:"Of the load and of whom faults strike."`
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -125,7 +125,11 @@
 	var hosts []feed.Host
 	for n := range f.Engines {
 		r := &record{began: f.began, open: map[string]int{}}
-		e, err := engine.Start("127.0.0.1:0", engine.Options{Cores: f.Cores, Cold: coldFor, Watch: r.watch})
+		address, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		e, err := engine.Start(address, engine.Options{Cores: f.Cores, Cold: coldFor, Watch: r.watch})
 		if err != nil {
 			return err
 		}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -46,14 +47,22 @@
 	log   tail
 }
 
-// FreeAddress picks a loopback address that nobody listens on.
+// listenPort is the same for all, as each has a loopback address of its own: a port of 127.0.0.1 that is free now may be
+// the near end of somebody's connection a moment later.
+const listenPort = 7050
+
+var addresses atomic.Uint32
+
+// FreeAddress picks a loopback address that nobody listens on, and nobody connects from.
 func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		n := addresses.Add(1)
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 16+os.Getpid()%200, n/250%250, 1+n%250, listenPort)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			return address, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no loopback address is free")
 }
 
 // NewProcess prepares a controller of a built program; its configuration goes into a folder.
--- a/lab/fleet/seen.go
+++ b/lab/fleet/seen.go
@@ -52,7 +52,7 @@
 		if v.over == 0 {
 			v.over = at
 		}
-		if e.What == engine.Ended || e.What == engine.Lost && v.Began > 0 {
+		if v.Began > 0 {
 			v.Ended = at
 		}
 	}
--- a/lab/fleet/spread/spread.go
+++ b/lab/fleet/spread/spread.go
@@ -27,7 +27,7 @@
 	Engine int
 	Came   time.Duration
 	Work   time.Duration
-	Began  time.Duration // has a core from then
+	Began  time.Duration // runs from then
 	Ended  time.Duration // until then; 0 for one that never began
 }
 
@@ -268,9 +268,10 @@
 			held += s.by
 			continue
 		}
-		was := running[s.engine] < r.Cores
+		before := running[s.engine]
 		running[s.engine] += s.by
-		used += s.by
+		used += min(running[s.engine], r.Cores) - min(before, r.Cores)
+		was := before < r.Cores
 		if is := running[s.engine] < r.Cores; was && !is {
 			free--
 		} else if is && !was {
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -1,11 +1,13 @@
 // Package engine is a stand-in for an analytic engine on a loopback address: it speaks the engines' side of the
-// protocol, runs jobs on a number of cores, and dies, hangs, slows down and returns cold when it is told to. Its audit
+// protocol, runs jobs that share a number of cores, and dies, hangs, slows down and returns cold when it is told to. Its audit
 // says what took place.
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,9 +15,10 @@
 	"yarrowbarrow/internal/resp"
 )
 
-// Options of an engine. The zero value runs one job at a time, each in no time.
+// Options of an engine. The zero value has one core, and jobs take no time.
 type Options struct {
-	Cores int           // jobs that run at once, 1 or more
+	Cores int           // jobs that run at full speed, 1 or more; more of them share the cores evenly
+	Most  int           // jobs that run at once, what comes then is turned away; 0: eight a core
 	Cold  time.Duration // after a start it runs slower for so long, from a third of its speed up
 	Row   string        // each result has this one row
 	Watch func(Event)   // is told what takes place, under the engine's lock: it must not call the engine
@@ -34,10 +37,9 @@
 
 const (
 	Came    What = iota // a job was read
-	Began               // it has a core
+	Began               // it runs
 	Ended               // it was answered
-	Dropped             // it was given up before it had a core
-	Stopped             // it is to be given up and has a core, which it keeps: engines need not stop
+	Dropped             // it was given up, or turned away
 	Lost                // it was lost with the engine's process
 	Dialled             // a connection came
 	Probed              // a probe
@@ -63,29 +65,31 @@
 	since  time.Time
 	slow   float64 // times as long, 1 usually
 	hung   bool
-	queue  []*run
-	active int
-	runs   map[*run]bool // that have a core
+	runs   []*run      // in the order they came
+	shared time.Time   // until when their shares are worked out
+	timer  *time.Timer // for the next end
 	ran    map[string]int
 	audit  Audit
 }
 
 // run is a job that an engine has taken.
 type run struct {
-	id      string
-	work    time.Duration
-	conn    net.Conn
-	life    int
-	dropped bool
+	id   string
+	work time.Duration
+	left time.Duration // of its work
+	conn net.Conn
 }
 
 // Start listens on an address; port 0 picks one.
 func Start(address string, options Options) (*Engine, error) {
 	options.Cores = max(options.Cores, 1)
+	if options.Most == 0 {
+		options.Most = 8 * options.Cores
+	}
 	if options.Row == "" {
 		options.Row = "a\tb\tc\n"
 	}
-	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, runs: map[*run]bool{}, ran: map[string]int{}, slow: 1}
+	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, ran: map[string]int{}, slow: 1}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -136,16 +140,10 @@
 		_ = conn.Close()
 	}
 	clear(e.conns)
-	for r := range e.runs {
+	for _, r := range e.runs {
 		e.tell(Lost, r)
 	}
-	for _, r := range e.queue {
-		if !r.dropped {
-			e.tell(Lost, r)
-		}
-	}
-	clear(e.runs)
-	e.queue, e.active = nil, 0
+	e.runs = nil
 }
 
 func (e *Engine) tell(what What, r *run) {
@@ -158,12 +156,19 @@
 func (e *Engine) Return() error { return e.listen() }
 
 // Slow has jobs take so many times as long from now on.
-func (e *Engine) Slow(times float64) { e.mu.Lock(); e.slow = times; e.mu.Unlock() }
+func (e *Engine) Slow(times float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.share()
+	e.slow = times
+	e.next()
+}
 
 // Hang has it take jobs and answer none, until it is told not to.
 func (e *Engine) Hang(yes bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.share()
 	e.hung = yes
 	e.next()
 }
@@ -181,11 +186,12 @@
 	return a
 }
 
-// Load is the jobs that run and those that wait.
-func (e *Engine) Load() (active, waiting int) {
+// Load is the jobs that run, as many as there are cores, and those beyond.
+func (e *Engine) Load() (active, beyond int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.active, len(e.queue)
+	active = min(len(e.runs), e.options.Cores)
+	return active, len(e.runs) - active
 }
 
 // workIn finds what a statement says of its own work, in a comment: /* work=250ms */. The protocol does not tell an
@@ -228,25 +234,30 @@
 	}
 	switch said[0] {
 	case "serve":
-		r := &run{id: said[1], conn: conn, life: life, work: workIn(said[len(said)-1])}
+		r := &run{id: said[1], conn: conn, work: workIn(said[len(said)-1])}
+		r.left = r.work
 		e.audit.Taken++
 		e.audit.Last = time.Now()
 		e.tell(Came, r)
-		e.queue = append(e.queue, r)
+		if len(e.runs) >= e.options.Most {
+			e.tell(Dropped, r)
+			answer(conn, r.id, "SHED", "-", "")
+			return
+		}
+		e.share()
+		e.runs = append(e.runs, r)
+		e.tell(Began, r)
 		e.next()
 	case "cancel":
-		for _, r := range e.queue {
-			if r.id == said[1] && !r.dropped {
-				r.dropped = true
+		e.share()
+		e.runs = slices.DeleteFunc(e.runs, func(r *run) bool {
+			if r.id == said[1] {
 				e.audit.Cancelled++
 				e.tell(Dropped, r)
 			}
-		}
-		for r := range e.runs {
-			if r.id == said[1] {
-				e.tell(Stopped, r)
-			}
-		}
+			return r.id == said[1]
+		})
+		e.next()
 	case "health", "gauges":
 		e.audit.Probes++
 		e.tell(Probed, &run{})
@@ -256,40 +267,62 @@
 	}
 }
 
-// next runs what waits while there are cores.
-func (e *Engine) next() {
-	for len(e.queue) > 0 && e.active < e.options.Cores && !e.hung {
-		r := e.queue[0]
-		if e.queue = e.queue[1:]; r.dropped {
-			continue
-		}
-		e.active++
-		e.runs[r] = true
-		e.tell(Began, r)
-		takes := time.Duration(float64(r.work) * e.slow)
-		if age := time.Since(e.since); age < e.options.Cold {
-			takes = time.Duration(float64(takes) * 3 / (1 + 2*float64(age)/float64(e.options.Cold)))
-		}
-		time.AfterFunc(takes, func() { e.end(r, takes) })
+// speed is how much of its work a job gets done in a time.
+func (e *Engine) speed() float64 {
+	if e.hung || len(e.runs) == 0 {
+		return 0
+	}
+	speed := min(1, float64(e.options.Cores)/float64(len(e.runs))) / e.slow
+	if age := time.Since(e.since); age < e.options.Cold {
+		speed *= (1 + 2*float64(age)/float64(e.options.Cold)) / 3
 	}
+	return speed
 }
 
-func (e *Engine) end(r *run, took time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.life != r.life {
-		return // lost with the process
+// share gives all that run their parts of the time since it was last done. What changes the speed comes after it.
+func (e *Engine) share() {
+	now := time.Now()
+	done := time.Duration(float64(now.Sub(e.shared)) * e.speed())
+	e.shared = now
+	for _, r := range e.runs {
+		r.left -= done
+		e.audit.Busy += done
 	}
-	e.active--
-	delete(e.runs, r)
-	e.tell(Ended, r)
-	e.ran[r.id]++
-	e.audit.Ran++
-	e.audit.Busy += took
-	if !e.hung {
+}
+
+// coldStep is how often the growing speed of a cold engine is looked at.
+const coldStep = 50 * time.Millisecond
+
+// next answers what is through, and waits for the next one.
+func (e *Engine) next() {
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool {
+		if r.left > 0 || e.hung {
+			return false
+		}
+		e.ran[r.id]++
+		e.audit.Ran++
+		e.tell(Ended, r)
 		answer(r.conn, r.id, "HIT", fmt.Sprintf("count=1,ticks=%d,footprint=16", max(r.work.Milliseconds(), 1)), e.options.Row)
+		return true
+	})
+	if e.timer != nil {
+		e.timer.Stop()
 	}
-	e.next()
+	speed := e.speed()
+	if speed == 0 {
+		return
+	}
+	least := slices.MinFunc(e.runs, func(a, b *run) int { return cmp.Compare(a.left, b.left) }).left
+	wait := time.Duration(float64(least)/speed) + time.Microsecond
+	if time.Since(e.since) < e.options.Cold {
+		wait = min(wait, coldStep)
+	}
+	e.timer = time.AfterFunc(wait, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.share()
+		e.next()
+	})
 }
 
 func answer(conn net.Conn, words ...string) {
