A bound may grow to four times as much while all engines are quick

Need: with uneven traffic a busy controller holds and sheds jobs beside free cores, as its bounds end at two threads a core of an even share, which its traffic is several times of.

Seen: probes in each module of a fleet of 100 by 20: the sum of bounds is 235 threads on 80 cores, 122 in use, while the busiest controllers have all of theirs out, hold jobs and shed (43 of 512). Excluded: the door (no job hopeless on arrival), suspicions (none), cold engines (none). To blame: fit(), the constant most.

Change: most is two to eight threads a core of an even share, by the present slowness over all engines, so that a slow answer cuts it back at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -737,9 +737,10 @@
 
 // fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
 // and not thrashing, at 1.5 all; with no cost told the best mean is lucky and lies lower. Least, an even
-// share of the cores, guards against starving beside controllers that stay wide; most is two threads a core.
+// share of the cores, guards against starving beside controllers that stay wide; most is two threads a core,
+// and up to eight while all is quick, as some controllers get several times the mean.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
-	const least, most = 1.0, 2.0
+	const least, most, wide = 1.0, 2.0, 8.0
 	target := 1.6
 	if j.cost == 0 {
 		target = 2.0
@@ -758,8 +759,9 @@
 	c.fleet()
 	e.bound *= 1 + push(c.slowness(e), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
 	all := 1 + push(1.07*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
+	until := most + (wide-most)*math.Max(0, math.Min(1, (1.3-c.slow.value)/0.3))
 	for _, e := range c.engines {
-		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), most*e.cores*2/(1+c.many))
+		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), until*e.cores*2/(1+c.many))
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -281,3 +281,41 @@
 		t.Error(homes)
 	}
 }
+
+// TestBoundOfTheBusy: a controller with more jobs than its even share has room for gets wider while answers are quick,
+// beyond two threads a core, and is back at that with the first slow ones.
+func TestBoundOfTheBusy(t *testing.T) {
+	h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
+	h.start(func(s *Settings) { s.Controllers = 10 })
+	h.up("a", "b")
+	even := 2.0 * 4 * 2 / 11 * 2 // two threads a core of both engines, as a share of ten controllers
+	n := 0
+	round := func(took time.Duration) {
+		for range 12 {
+			n++
+			h.c.JobTaken(h.now, JobID(fmt.Sprint("j", n)), "lookup", "", "", h.now+5*time.Second, 100*ms, 0, Tables(n), false, nil)
+		}
+		h.now += took
+		for _, e := range h.c.engines {
+			for len(e.out) > 0 {
+				j := e.out[0]
+				h.c.DispatchOver(h.now, j.id, j.sent-1, e.id, Done, took, true, 100*ms, 0, Load{})
+				if len(e.out) > 0 && e.out[0].out.sent == h.now {
+					break // those sent just now are for the next round
+				}
+			}
+		}
+	}
+	for range 60 {
+		round(100 * ms)
+	}
+	if h.c.bound < 1.5*even || h.c.bound > 4*even+1e-9 {
+		t.Errorf("after quick answers %.2f threads, two a core are %.2f", h.c.bound, even)
+	}
+	for range 8 {
+		round(300 * ms)
+	}
+	if h.c.bound > even+1e-9 {
+		t.Errorf("after slow answers %.2f threads, two a core are %.2f", h.c.bound, even)
+	}
+}
