--- a/logic/logic.go
+++ b/logic/logic.go
@@ -538,15 +538,17 @@
 // coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
 const coldShare = 0.75
 
-// coldAllows keeps rule 4: of what a cold engine stands in the span (85% busy cores, as capacity is) each
-// controller at home there takes an equal part, others none. A job of more than that goes in turn: turns are
-// spread by number over as many spans as it needs parts; clocks need only roughly agree. A start is taken to
-// ramp up along half a line. Harm: an engine that stays at its least, or lists that differ for long.
+// coldAllows keeps rule 4: of what a cold engine stands in the span (85% busy cores, as capacity is, a job
+// being in part at the disks) each controller at home there takes an equal part, others none. A job of more
+// than that goes in turn: turns are spread by number over as many spans as it needs parts; clocks need only
+// roughly agree. A start is taken to ramp up along half a line. Harm: an engine that stays at its least, jobs
+// that hardly read, or lists that differ for long; hunts came to less than six tenths of the limit.
 func (c *Controller) coldAllows(j *job, e *engine) bool {
 	if !c.isCold(e) {
 		return true
 	}
-	whole := coldShare * c.set.FallMultiple * c.warmth(e) * 0.85 * e.cores * float64(c.set.Fall)
+	bears := 0.85 * e.cores * startThreads / 2 // work in a time, when warm
+	whole := coldShare * c.set.FallMultiple * c.warmth(e) * bears * float64(c.set.Fall)
 	part := whole * c.up / (c.homes * c.many)
 	work := float64(c.usualWork(j))
 	turns := math.Max(1, math.Ceil(work/part))
