Fleet clients try a starting controller twenty times, as was meant

Cause: seen.go gave a job up after one failed dial, though its comment and its bound say twenty, a hundredth of a second apart; jobs to a controller that was just killed were not asked. Change: the loop goes on.

--- a/lab/fleet/seen.go
+++ b/lab/fleet/seen.go
@@ -131,10 +131,14 @@
 			return
 		}
 		if c == nil {
-			if c = g.dial(try); c == nil {
-				g.open.Done()
-				return // nobody is there: the job was never taken
-			}
+			c = g.dial()
+		}
+		if c == nil && try < mostDials {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		} else if c == nil { // nobody is there: the job was never taken
+			g.open.Done()
+			return
 		}
 		g.mu.Lock()
 		if _, again := g.jobs[j.ID]; !again {
@@ -153,14 +157,12 @@
 	}
 }
 
-// dial waits a moment for a controller that is starting; a job that finds none after that is not asked.
-func (g *guests) dial(try int) *load.Client {
-	if try > 20 {
-		return nil
-	}
+// mostDials is how often a job tries to reach a controller that is starting, a hundredth of a second apart.
+const mostDials = 20
+
+func (g *guests) dial() *load.Client {
 	c, err := load.Dial(g.process.Listen)
 	if err != nil {
-		time.Sleep(10 * time.Millisecond)
 		return nil
 	}
 	g.mu.Lock()
