--- a/config/settings.go
+++ b/config/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"yarrowbarrow/decide/limit"
 	"yarrowbarrow/decide/spread"
 	"yarrowbarrow/logic"
 )
@@ -132,8 +133,27 @@
 	return other
 }
 
-// Module makes the decision module with homes dealt by decide/spread.
+// limits has decide/limit speak the module's types.
+type limits struct{ *limit.Limits }
+
+func (l limits) Within(now time.Duration, c logic.CustomerID) bool {
+	return l.Limits.Within(now, limit.CustomerID(c))
+}
+
+func (l limits) Engine(cores float64) logic.EngineLimit { return l.Limits.Engine(cores) }
+
+func newLimits(s logic.Settings) limits {
+	set := limit.Settings{Controllers: s.Controllers, Number: s.Number, BudgetWindow: s.BudgetWindow, BudgetFree: s.BudgetFree,
+		BudgetShare: s.BudgetShare, StartCapacity: s.StartCapacity, Cold: s.Cold, FallMultiple: s.FallMultiple, Fall: s.Fall}
+	for _, c := range s.Customers {
+		set.Customers = append(set.Customers, limit.Customer{Name: limit.CustomerID(c.Name), JobsPerS: c.JobsPerS})
+	}
+	return limits{limit.New(set)}
+}
+
+// Module makes the decision module with homes dealt by decide/spread and the limits of decide/limit.
 func Module(host logic.Host, s logic.Settings, seed int64) *logic.Controller {
+	s.Limits = newLimits(s)
 	s.Order = func(up []logic.Home, homes int) []logic.Home {
 		list, at := make([]spread.Engine, len(up)), make(map[spread.EngineID]logic.Home, len(up))
 		for n, e := range up {
--- /dev/null
+++ b/decide/limit/cold.go
@@ -0,0 +1,76 @@
+package limit
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Engine is what a controller keeps about its sendings to one engine, for rule 4.
+type Engine struct {
+	of     *Limits
+	cores  float64
+	since  time.Duration // when it started, 0 for long ago
+	lately []sending
+	given  time.Duration // all work sent
+}
+
+// sending is one; before is all work that was sent until then.
+type sending struct{ at, before time.Duration }
+
+// Engine begins the account of one with so many cores.
+func (l *Limits) Engine(cores float64) *Engine { return &Engine{of: l, cores: cores} }
+
+// Started tells when the engine's process began. What was sent before is kept: it may still be on its way.
+func (e *Engine) Started(since time.Duration) { e.since = since }
+
+// Cold tells whether it has started too lately to do all its work.
+func (e *Engine) Cold(now time.Duration) bool {
+	return e.since != 0 && e.of.set.Fall != 0 && now-e.since < e.of.set.Cold
+}
+
+// coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
+const coldShare = 0.75
+
+// coldThreads a core are what an engine bears: with half the work on disks, about what keeps 85% of its cores busy, which
+// is what capacity counts.
+const coldThreads, coldBusy = 1.5, 0.85
+
+// Allows keeps rule 4. Of what a cold engine stands in the span, each controller at home there takes an equal part, others
+// none; share is the part of all controllers' homes on it, as in homes of a controller over engines. A job of more than a
+// part goes in turn: turns are spread by number over as many spans as it needs parts; clocks need only roughly agree. A
+// start is taken to ramp up along half a line. Harm: an engine that stays at its least, lists that differ.
+func (e *Engine) Allows(now, work time.Duration, share float64) bool {
+	if !e.Cold(now) {
+		return true
+	}
+	l := e.of
+	bears := coldBusy * e.cores * coldThreads // work in a time, when warm
+	whole := coldShare * l.set.FallMultiple * e.warmth(now) * bears * float64(l.set.Fall)
+	part := whole / (share * l.many)
+	sum := float64(work)
+	turns := math.Max(1, math.Ceil(sum/part))
+	_, turn := math.Modf(float64(now)/float64(l.set.Fall)/turns + float64(l.set.Number)*math.Phi)
+	if share == 0 || sum > whole || turn*turns > 1 {
+		return false
+	}
+	from := now - l.set.Fall*time.Duration(turns)
+	if n := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= from }); n < len(e.lately) {
+		sum += float64(e.given - e.lately[n].before)
+	}
+	return sum <= turns*part
+}
+
+// warmth is the share of its capacity that a cold engine surely has.
+func (e *Engine) warmth(now time.Duration) float64 {
+	set := &e.of.set
+	age := float64(now-set.Fall-e.since) / float64(set.Cold)
+	return set.StartCapacity + (1-set.StartCapacity)*math.Max(age, 0)/2
+}
+
+// Sent keeps what went there. It is kept for warm engines too, as the word of a start comes late.
+func (e *Engine) Sent(now, work time.Duration, _ float64) {
+	old := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= now-e.of.set.Cold })
+	e.lately = append(e.lately[old:], sending{now, e.given})
+	e.given += work
+}
--- /dev/null
+++ b/decide/limit/limit_test.go
@@ -0,0 +1,108 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var update = flag.Bool("update", false, "write the traces anew, to be read before they are kept")
+
+// TestMain gives the property tests the same seed in each run; -rapid.seed looks further.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func keep(t *testing.T, lines []string) {
+	t.Helper()
+	file := filepath.Join("testdata", t.Name()+".txt")
+	if *update {
+		if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(strings.Split(strings.TrimRight(string(want), "\n"), "\n"), lines); diff != "" {
+		t.Error("limits differ (-kept +now):\n" + diff)
+	}
+}
+
+// TestTurns: one of three controllers at a cold engine of 4 cores; a lookup fits its part at each moment, a report waits
+// for its turn, and what was sent counts until the span is over.
+func TestTurns(t *testing.T) {
+	l := New(Settings{Controllers: 3, StartCapacity: 0.3, Cold: 10 * time.Second, FallMultiple: 3, Fall: 2 * time.Second})
+	e := l.Engine(4)
+	e.Started(time.Minute)
+	var lines []string
+	for now := time.Minute; now <= time.Minute+11*time.Second; now += 500 * ms {
+		line := fmt.Sprintf("%5d ms", (now - time.Minute).Milliseconds())
+		for _, job := range []struct {
+			name string
+			work time.Duration
+		}{{"report", 4 * time.Second}, {"lookup", 400 * ms}} {
+			if e.Allows(now, job.work, 1) {
+				line += "  " + job.name
+				e.Sent(now, job.work, 1)
+			}
+		}
+		lines = append(lines, line)
+	}
+	keep(t, lines)
+}
+
+// TestBudget: in no window more further dispatches than the settings allow, by a count beside it.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Settings{BudgetWindow: time.Second, BudgetFree: 2, BudgetShare: 0.2}
+		l := New(set)
+		var taken, further []time.Duration
+		within := func(list []time.Duration, from, to time.Duration) (n int) {
+			for _, at := range list {
+				if at >= from && at <= to {
+					n++
+				}
+			}
+			return n
+		}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
+			if rapid.Bool().Draw(t, "job") {
+				l.JobTaken(now)
+				taken = append(taken, now)
+			} else if l.MayRepeat(now) {
+				l.Repeated(now)
+				further = append(further, now)
+				if n := within(further, now-set.BudgetWindow, now); float64(n) > set.BudgetFree+set.BudgetShare*float64(within(taken, now-set.BudgetWindow, now)) {
+					t.Fatalf("%d further dispatches in the window before %v", n, now)
+				}
+			}
+		}
+	})
+}
+
+// TestShares: a customer's tokens gather for a second, and its share is divided among the controllers.
+func TestShares(t *testing.T) {
+	l := New(Settings{Controllers: 2, Customers: []Customer{{"a", 8}, {"none", 0}}})
+	var lines []string
+	for now := time.Minute; now < time.Minute+2*time.Second; now += 100 * ms {
+		lines = append(lines, fmt.Sprintf("%4d ms  a %v, %v; none %v; unknown %v", (now-time.Minute).Milliseconds(),
+			l.Within(now, "a"), l.Within(now, "a"), l.Within(now, "none"), l.Within(now, "unknown")))
+	}
+	keep(t, lines)
+}
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"yarrowbarrow/decide/limit"
 )
 
 var update = flag.Bool("update", false, "write the traces anew, to be read before they are kept")
@@ -68,9 +70,18 @@
 		at := s.Number * len(up) / s.Controllers
 		return slices.Concat(up[at:], up[:at])
 	}
+	s.Limits = limits{limit.New(limit.Settings{Controllers: s.Controllers, Number: s.Number, BudgetWindow: s.BudgetWindow,
+		BudgetFree: s.BudgetFree, BudgetShare: s.BudgetShare, StartCapacity: s.StartCapacity, Cold: s.Cold,
+		FallMultiple: s.FallMultiple, Fall: s.Fall})}
 	h.c = New(h, s, 1)
 }
 
+// limits are those of decide/limit, without customers' shares.
+type limits struct{ *limit.Limits }
+
+func (l limits) Within(time.Duration, CustomerID) bool { return true }
+func (l limits) Engine(cores float64) EngineLimit      { return l.Limits.Engine(cores) }
+
 func (h *bench) up(engines ...EngineID) {
 	for _, e := range engines {
 		h.list(e, Up, 0)
--- a/logic/host.go
+++ b/logic/host.go
@@ -65,6 +65,23 @@
 	Further(first, since time.Duration) bool
 }
 
+// Limits are the amounts that a controller may use by itself, rules 4 and 7 among them; decide/limit keeps them.
+type Limits interface {
+	JobTaken(now time.Duration)
+	Within(now time.Duration, customer CustomerID) bool // its share, of which it takes one job
+	MayRepeat(now time.Duration) bool                   // a further dispatch may leave
+	Repeated(now time.Duration)
+	Engine(cores float64) EngineLimit
+}
+
+// EngineLimit is the limit on work for an engine that has just started.
+type EngineLimit interface {
+	Started(since time.Duration) // 0 for long ago
+	Cold(now time.Duration) bool
+	Allows(now, work time.Duration, share float64) bool // share of all controllers' homes that the engine has
+	Sent(now, work time.Duration, share float64)
+}
+
 type Outcome int
 
 const (
@@ -170,7 +187,7 @@
 	Location       Location
 	Types          []Type
 	Kinds          []EngineKind
-	Customers      []Customer
+	Customers      []Customer // for the limits, as the budget and the figures of cold engines
 	OverShareValue float64
 	ListOnRequest  bool
 	MayRecall      bool
@@ -192,6 +209,8 @@
 	// Order gives engines in the order in which this controller has them for homes, so many of which are dealt for the
 	// whole fleet; nil: as they are.
 	Order func(up []Home, homes int) []Home
+	// Limits begin with the module.
+	Limits Limits
 }
 
 // Home is an engine that may be one.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,7 +11,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -62,19 +61,12 @@
 	m.value += (x - m.value) / m.n
 }
 
-type customer struct {
-	tokens, perS float64
-	filled       time.Duration
-}
-
 // line is the order of the jobs of one key.
 type line struct {
 	jobs  []*job
 	rests time.Duration // until then
 }
 
-type sending struct{ at, before time.Duration } // for rule 4; before: all work sent until then
-
 // engine is what this controller knows of an engine while it stays known.
 type engine struct {
 	id              EngineID
@@ -89,8 +81,7 @@
 	dealt           float64 // the bound, dealt out by whole jobs
 	slow            mean    // latency over the best
 	out             []*job
-	lately          []sending
-	given           time.Duration // all work sent
+	limit           EngineLimit   // of rule 4
 	errors          float64       // share of late
 	full, reported  float64       // memory granted, as last reported, and when in s
 	answered        time.Duration // when an answer last came
@@ -106,7 +97,7 @@
 	rng                    *rand.Rand
 	now                    time.Duration
 	byName                 map[TypeName]*row
-	customers              map[CustomerID]*customer
+	limits                 Limits
 	engines                []*engine // by id, so that no order depends on a map
 	byID                   map[EngineID]*engine
 	jobs                   map[JobID]*job
@@ -114,7 +105,6 @@
 	ranked                 time.Duration // when
 	work                   float64       // of all held
 	lines                  map[Key]*line
-	taken, further         []time.Duration // rule 7: jobs taken and further dispatches in the window
 	seq                    int
 	ticking, whole, common bool          // whole: the list being read is; common: most are suspected
 	widest                 float64       // threads of the widest type
@@ -135,16 +125,13 @@
 
 func New(host Host, settings Settings, seed int64) *Controller {
 	c := &Controller{host: host, set: settings, rng: rand.New(rand.NewSource(seed)),
-		byName: map[TypeName]*row{}, customers: map[CustomerID]*customer{}, byID: map[EngineID]*engine{},
+		byName: map[TypeName]*row{}, limits: settings.Limits, byID: map[EngineID]*engine{},
 		jobs: map[JobID]*job{}, lines: map[Key]*line{}, shortest: math.MaxInt64,
 		many: math.Max(1, float64(settings.Controllers))}
 	for _, t := range settings.Types {
 		c.byName[t.Name] = &row{Type: t}
 		c.widest, c.shortest = math.Max(c.widest, t.Threads), min(c.shortest, t.SLATime)
 	}
-	for _, cust := range settings.Customers {
-		c.customers[cust.Name] = &customer{perS: cust.JobsPerS / c.many}
-	}
 	return c
 }
 
@@ -173,11 +160,14 @@
 		if n := slices.IndexFunc(c.set.Kinds, func(k EngineKind) bool { return k.Name == kind }); n >= 0 {
 			e.cores, e.memoryMB = c.set.Kinds[n].Cores, c.set.Kinds[n].MemoryMB
 		}
+		e.limit = c.limits.Engine(e.cores)
+		e.limit.Started(since)
 		c.startBound(e)
 	}
 	if since > e.since || (e.state != Up && health == Up) {
 		// Started anew: what was learned of the process is void, and a start is as good as a trial.
 		e.since = max(since, e.since)
+		e.limit.Started(e.since)
 		c.host.Suspects(e.id, false)
 		e.suspected, e.errors, e.wait = false, 0, 0
 		c.startBound(e)
@@ -235,17 +225,13 @@
 		d: min(now+r.JobTimeout, expires)}
 	j.goesIn(place)
 	c.jobs[id] = j
-	if c.set.BudgetWindow > 0 {
-		c.budgetAllows() // which forgets what is past the window
-		c.taken = append(c.taken, now)
-	}
+	c.limits.JobTaken(now)
 	if r.Ordered && key != "" {
 		j.line = cmp.Or(c.lines[key], &line{})
 		c.lines[key] = j.line
 		j.line.jobs = append(j.line.jobs, j)
 	}
-	from := c.customers[cust]
-	j.over = from != nil && from.perS > 0 && !from.admit(now)
+	j.over = !c.limits.Within(now, cust)
 	if c.hold(j); c.hopeless(j) {
 		c.end(j)
 		return
@@ -258,17 +244,6 @@
 	c.ticking = true
 }
 
-// admit takes one of the customer's tokens, which gather for a second, so that a short bunch is not over.
-func (cu *customer) admit(now time.Duration) bool {
-	cu.tokens = math.Min(cu.tokens+cu.perS*(now-cu.filled).Seconds(), math.Max(1, cu.perS))
-	cu.filled = now
-	if cu.tokens < 1 {
-		return false
-	}
-	cu.tokens--
-	return true
-}
-
 // expect is E: told cost times learned latency per cost, or mean latency; the SLA time before either.
 func (c *Controller) expect(j *job) time.Duration {
 	if j.row.unit.n == 0 {
@@ -379,7 +354,7 @@
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
 // narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
-// Cold engines are left to coldAllows: guards the others against jobs for which only the cold have bounds.
+// Cold engines are left to their limits: guards the others against jobs for which only the cold have bounds.
 func (c *Controller) fleet() {
 	most := c.widest / 2 * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
 	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
@@ -390,7 +365,7 @@
 			continue
 		}
 		bound := e.bound
-		if c.isCold(e) {
+		if e.limit.Cold(c.now) {
 			c.cold, bound = c.cold+1, e.threads
 		}
 		c.up, c.entire, c.bound, c.threads = c.up+1, c.entire+e.bound, c.bound+bound, c.threads+e.threads
@@ -445,10 +420,10 @@
 	waits = true
 	c.deal()
 	for _, e := range c.engines {
-		if coldOnly && !c.isCold(e) {
+		if coldOnly && !e.limit.Cold(c.now) {
 			continue
 		}
-		if !c.mayGoTo(j, e) || !c.coldAllows(j, e) {
+		if !c.mayGoTo(j, e) || !e.limit.Allows(c.now, c.usualWork(j), c.share(e)) {
 			waits = waits && (e.state != Up || !j.placed(e))
 			continue
 		}
@@ -497,7 +472,7 @@
 	if len(j.maybeRan) > 0 {
 		first = j.maybeRan[0].sent
 	}
-	return c.budgetAllows() && (j.place == nil || j.place.Further(c.now-first, c.now-j.freed))
+	return c.limits.MayRepeat(c.now) && (j.place == nil || j.place.Further(c.now-first, c.now-j.freed))
 }
 
 func (j *job) goesIn(place Placement) {
@@ -508,18 +483,6 @@
 
 func (j *job) placed(e *engine) bool { return j.place == nil || j.place.Allows(e.id) }
 
-// budgetAllows keeps rule 7.
-func (c *Controller) budgetAllows() bool {
-	if c.set.BudgetWindow == 0 {
-		return true
-	}
-	// The edge of the window counts against us: it may be drawn either way.
-	from := c.now - c.set.BudgetWindow
-	c.taken = c.taken[sort.Search(len(c.taken), func(n int) bool { return c.taken[n] > from }):]
-	c.further = c.further[sort.Search(len(c.further), func(n int) bool { return c.further[n] >= from }):]
-	return float64(len(c.further)+1) <= c.set.BudgetFree+c.set.BudgetShare*float64(len(c.taken))
-}
-
 // mayGoTo keeps rules 2, 3 and 6 for a dispatch to one engine.
 func (c *Controller) mayGoTo(j *job, e *engine) bool {
 	if e.state != Up || len(j.row.Locations) > 0 && !slices.Contains(j.row.Locations, e.location) ||
@@ -537,41 +500,12 @@
 	return true
 }
 
-// coldShare leaves room for what was sent before a start was told, for chance and for uneven controllers.
-const coldShare = 0.75
-
-// coldAllows keeps rule 4: of what a cold engine stands in the span (85% busy cores, as capacity is; jobs are
-// in part at the disks) each controller at home there takes an equal part, others none. A job of more goes in
-// turn: turns are spread by number over as many spans as it needs parts; clocks need only roughly agree. A
-// start is taken to ramp up along half a line. Harm: an engine that stays at its least, lists that differ.
-func (c *Controller) coldAllows(j *job, e *engine) bool {
-	if !c.isCold(e) {
-		return true
-	}
-	bears := 0.85 * e.cores * startThreads / 2 // work in a time, when warm
-	whole := coldShare * c.set.FallMultiple * c.warmth(e) * bears * float64(c.set.Fall)
-	part := whole * c.up / (c.homes * c.many)
-	work := float64(c.usualWork(j))
-	turns := math.Max(1, math.Ceil(work/part))
-	_, turn := math.Modf(float64(c.now)/float64(c.set.Fall)/turns + float64(c.set.Number)*math.Phi)
-	if e.dealt == 0 || work > whole || turn*turns > 1 {
-		return false
-	}
-	from := c.now - c.set.Fall*time.Duration(turns)
-	if n := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= from }); n < len(e.lately) {
-		work += float64(e.given - e.lately[n].before)
+// share is the part of all controllers' homes that an engine has, none where this one is not at home.
+func (c *Controller) share(e *engine) float64 {
+	if e.dealt == 0 {
+		return 0
 	}
-	return work <= turns*part
-}
-
-func (c *Controller) isCold(e *engine) bool {
-	return e.since != 0 && c.set.Fall != 0 && c.now-e.since < c.set.Cold
-}
-
-// warmth is the share of its capacity that a cold engine surely has.
-func (c *Controller) warmth(e *engine) float64 {
-	age := float64(c.now-c.set.Fall-e.since) / float64(c.set.Cold)
-	return c.set.StartCapacity + (1-c.set.StartCapacity)*math.Max(age, 0)/2
+	return c.homes / c.up
 }
 
 func (c *Controller) usualWork(j *job) time.Duration {
@@ -582,17 +516,15 @@
 	c.unhold(j)
 	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now}
 	c.terms(j, e)
-	if j.sent > 0 && c.set.BudgetWindow > 0 {
-		c.further = append(c.further, c.now)
+	if j.sent > 0 {
+		c.limits.Repeated(c.now)
 	}
 	j.sent++
 	j.out = d
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.row.Threads
-	old := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= c.now-c.set.Cold })
-	e.lately = append(e.lately[old:], sending{c.now, e.given})
-	e.given += c.usualWork(j)
+	e.limit.Sent(c.now, c.usualWork(j), c.share(e))
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
 	if j.row.LateValue == 0 {
