Fleet rig: relays on links, 22 faults, an audit proved by taking guards out, pages and pairs

Need: even load has to be shown while links, lists, engines and clients fail, and by an audit that can fail. The rig had six faults, none on links, and looked at rule 1 and at two dispatches at once alone.

Change: relays stand between rooms of controllers and engines (silence one way or both, where no new connection comes up either, delay, resets in the middle of a message, little bandwidth); each controller has a feed of its own, which can be late or silent; engines are replaced at new addresses and at old ones, rooms are lost; clients give up or ask again; one controller gets ten times the mean. Scripts of faults, or drawn from a seed. The audit counts rules 1, 2, 3, 4, 6, 7 and dispatches at once from the wire; rule 5 can't be played, as the framed protocol tells no key. The stand-in engine gives up what was open on a connection that ended, as the protocol has it. Figures as a page with plots; 'fleet compare' plays two policies or builds in pairs and gives the interval of the difference.

--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -30,7 +30,7 @@
 	Explain    explainCommand    `cmd:"" help:"Tell where a job would go, and why."`
 	Routes     routesCommand     `cmd:"" help:"Show the routes of an operators' file as a table."`
 	Demo       demoCommand       `cmd:"" help:"Play a minute of load between stand-in engines, with an operators' file."`
-	Fleet      fleetCommand      `cmd:"" help:"Play hundreds of controllers between stand-in engines, and tell how evenly these were used."`
+	Fleet      fleetCommands     `cmd:"" help:"Play hundreds of controllers between stand-in engines, and tell how evenly these were used."`
 	Baseline   baselineCommand   `cmd:"" hidden:"" help:"Serve with a plain policy, to measure against."`
 	Version    versionCommand    `cmd:"" help:"Show the version of this program."`
 	Completion completionCommand `cmd:"" help:"Write a completion script for bash."`
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -47,6 +47,9 @@
 			return a
 		}
 	default:
+		if module := broken(name); module != nil {
+			return module, nil
+		}
 		return nil, fmt.Errorf("no policy %q, wanted: one of %v", name, Names)
 	}
 	return func(host logic.Host, set logic.Settings, seed int64) logic.Module {
--- /dev/null
+++ b/lab/baseline/broken.go
@@ -0,0 +1,63 @@
+package baseline
+
+import (
+	"slices"
+	"time"
+
+	"yarrowbarrow/config"
+	"yarrowbarrow/logic"
+)
+
+// breakers are the module that serves with one rule's guard taken out each. They are proof that an audit finds what it is
+// for, and serve nobody.
+var breakers = map[string]func(*logic.Settings){
+	"without-rule-1": func(*logic.Settings) {},
+	"without-rule-2": func(s *logic.Settings) {
+		types(s, func(t *logic.Type) { t.Repeat = logic.Restartable })
+	},
+	"without-rule-3": func(*logic.Settings) {},
+	"without-rule-6": func(s *logic.Settings) { types(s, func(t *logic.Type) { t.Locations, t.Kinds = nil, nil }) },
+	"without-rule-7": func(s *logic.Settings) { s.BudgetWindow = 0 },
+}
+
+// types changes a copy of the types, as the settings outlive a module.
+func types(s *logic.Settings, change func(*logic.Type)) {
+	s.Types = slices.Clone(s.Types)
+	for n := range s.Types {
+		change(&s.Types[n])
+	}
+}
+
+// broken gives the constructor of one of the breakers.
+func broken(name string) func(logic.Host, logic.Settings, int64) logic.Module {
+	change := breakers[name]
+	if change == nil {
+		return nil
+	}
+	return func(host logic.Host, set logic.Settings, seed int64) logic.Module {
+		change(&set)
+		switch name {
+		case "without-rule-1":
+			return config.Module(forgetful{host}, set, seed)
+		case "without-rule-3":
+			return careless{config.Module(host, set, seed)}
+		}
+		return config.Module(host, set, seed)
+	}
+}
+
+// forgetful never tells a client that its job was turned away.
+type forgetful struct{ logic.Host }
+
+func (forgetful) Throttle(logic.JobID, time.Duration) {}
+
+// careless takes engines that drain for healthy ones.
+type careless struct{ logic.Module }
+
+func (c careless) EngineListed(now time.Duration, id logic.EngineID, location logic.Location, kind logic.KindName, cell logic.Cell,
+	health logic.Health, weight float64, since time.Duration) {
+	if health == logic.Draining {
+		health = logic.Up
+	}
+	c.Module.EngineListed(now, id, location, kind, cell, health, weight, since)
+}
--- /dev/null
+++ b/lab/fleet/audit.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Audit is what went against the rules, from the wire alone; all of it is 0 where they were kept. What a client sent to a
+// controller that was killed is not counted as lost. Rule 5 is not played, as the framed protocol tells no key.
+type Audit struct {
+	Lost     int `json:"lost"`           // rule 1: jobs without an answer
+	Doubled  int `json:"answered_twice"` // rule 1: jobs, or answers to nothing that was asked
+	Repeated int `json:"repeated"`       // rule 2: jobs that went again though they may have run and must not run twice
+	Drained  int `json:"after_drain"`    // rule 3: jobs that came to an engine past the grace after its controller was told
+	Felled   int `json:"felled"`         // rule 4: cold engines that got more than they stand
+	Strayed  int `json:"misplaced"`      // rule 6: jobs at an engine that their type bars
+	Excess   int `json:"over_budget"`    // rule 7: further dispatches beyond the budget
+	Together int `json:"at_once"`        // jobs with two dispatches at engines at once
+	Crashes  int `json:"crashes"`        // processes that ended though nothing of ours ended them
+
+	Cold float64 `json:"cold_most"` // the most work that came to a cold engine, over what fells it; no breach by itself
+}
+
+// Broken tells whether anything went against a rule.
+func (a Audit) Broken() bool {
+	a.Cold = 0
+	return a != Audit{}
+}
+
+// evidence is what clients, engines and the feed saw.
+type evidence struct {
+	jobs   map[string]*ask
+	hosts  []*host
+	visits []seen
+	struck map[int]bool  // controllers that a fault ended, who begin anew and know nothing
+	slack  time.Duration // by which things are seen late
+	gap    time.Duration // by which a dispatch that was given up may go on at its engine
+	budget budget
+	cold   cold
+	length time.Duration // of the window in which a repeat of a keyed job is known
+}
+
+// ask is a job as its client sent it.
+type ask struct {
+	controller int
+	kind       *kind
+	sent       time.Duration
+}
+
+// seen is a dispatch at an engine.
+type seen struct {
+	visit
+	host *host
+}
+
+type budget struct {
+	window      time.Duration
+	free, share float64
+}
+
+type cold struct {
+	length, fall, meanJob time.Duration
+	start, multiple       float64
+}
+
+// judge goes through the evidence. Times on the wire lag behind those that a controller knows: slack is for that.
+func (e *evidence) judge(a *Audit) {
+	slices.SortStableFunc(e.visits, func(x, y seen) int { return cmp.Compare(x.Came, y.Came) })
+	byJob := map[string][]seen{}
+	further := map[int][]time.Duration{}
+	taken := map[int][]time.Duration{}
+	for _, j := range e.jobs {
+		taken[j.controller] = append(taken[j.controller], j.sent)
+	}
+	for _, v := range e.visits {
+		j := e.jobs[v.id]
+		if j == nil {
+			continue // sent as the run ended
+		}
+		if told, was := v.host.told[j.controller]; was && v.Came > told+grace+e.slack {
+			a.Drained++
+		}
+		if j.kind.room != "" && v.host.room != j.kind.room {
+			a.Strayed++
+		}
+		if len(byJob[v.id]) > 0 {
+			further[j.controller] = append(further[j.controller], v.Came)
+		}
+		byJob[v.id] = append(byJob[v.id], v)
+	}
+	for id, visits := range byJob {
+		if e.repeated(e.jobs[id].kind, visits) {
+			a.Repeated++
+		}
+		spans := make([][2]time.Duration, len(visits))
+		for n, v := range visits {
+			spans[n] = [2]time.Duration{v.Came, v.over}
+		}
+		if overlap(spans, e.gap) {
+			a.Together++
+		}
+	}
+	for c, times := range further {
+		if !e.struck[c] {
+			a.Excess += e.excess(times, taken[c])
+		}
+	}
+	e.chill(a)
+}
+
+// repeated tells whether a job came again that may have run and must not run twice.
+func (e *evidence) repeated(k *kind, visits []seen) bool {
+	for n, v := range visits {
+		for _, before := range visits[:n] {
+			if before.Began == 0 { // turned away, or lost before it ran
+				continue
+			}
+			if k.once || k.keyed && v.Came > before.Came+e.length+e.slack {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// excess counts the further dispatches of a controller beyond its budget, with the protocol's width of 15 in 100 and one.
+func (e *evidence) excess(further, taken []time.Duration) (n int) {
+	slices.Sort(taken)
+	for at, t := range further {
+		out := 0
+		for _, other := range further[:at+1] {
+			if other > t-e.budget.window+e.slack {
+				out++
+			}
+		}
+		from, _ := slices.BinarySearch(taken, t-e.budget.window-e.slack)
+		to, _ := slices.BinarySearch(taken, t)
+		if float64(out) > 1+1.15*(e.budget.free+e.budget.share*float64(to-from)) {
+			n++
+		}
+	}
+	return n
+}
+
+// chill looks at what came to engines that had just started and were told as such: within any span that the settings name at
+// most as many jobs of mean work as that, and three times its root and three for chance, as the standing test counts.
+func (e *evidence) chill(a *Audit) {
+	for _, h := range e.hosts {
+		if h.born == 0 {
+			continue
+		}
+		var came []seen
+		for _, v := range e.visits {
+			if v.host == h && v.Came >= h.born && v.Came < h.born+e.cold.length {
+				came = append(came, v)
+			}
+		}
+		most := 0.0
+		for n, first := range came {
+			sum := 0.0
+			for _, v := range came[n:] {
+				if v.Came >= first.Came+e.cold.fall {
+					break
+				}
+				sum += v.Work.Seconds()
+			}
+			age := float64(first.Came-h.born) / float64(e.cold.length)
+			able := e.cold.multiple * (e.cold.start + (1-e.cold.start)*age) * float64(h.cores) * e.cold.fall.Seconds()
+			jobs := able / e.cold.meanJob.Seconds()
+			most = max(most, sum/((jobs+3*math.Sqrt(jobs)+3)*e.cold.meanJob.Seconds()))
+		}
+		if a.Cold = max(a.Cold, most); most > 1 {
+			a.Felled++
+		}
+	}
+}
+
+// overlap tells whether two spans of one job overlap by more than a gap. One that is not over at the end of a run is the last.
+func overlap(spans [][2]time.Duration, gap time.Duration) bool {
+	slices.SortFunc(spans, func(a, b [2]time.Duration) int { return cmp.Compare(a[0], b[0]) })
+	for n := 1; n < len(spans); n++ {
+		if spans[n-1][1] == 0 || spans[n-1][1] > spans[n][0]+gap {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lab/fleet/report/report.go
@@ -0,0 +1,215 @@
+// Package report writes runs of a fleet as one HTML page that needs nothing else: a table of figures, and for each run how
+// busy each engine was over time, what became of jobs by when they were sent, and how controllers fared.
+package report
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	svg "github.com/ajstarks/svgo"
+
+	"yarrowbarrow/lab/fleet"
+	"yarrowbarrow/lab/fleet/spread"
+)
+
+// Row is a figure with its value for each run.
+type Row struct {
+	Name   string
+	Values []string
+}
+
+// Page is what is shown.
+type Page struct {
+	Title   string
+	Command string // that plays it again
+	Faults  []fleet.Fault
+	Rows    []Row
+	Results []fleet.Result
+}
+
+// page is read on first use, as a controller needs none of it.
+var page = sync.OnceValue(func() *template.Template { return template.Must(template.New("page").Parse(text)) })
+
+const text = `<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>{{.Title}}</title>
+<style>
+body { font: 15px/1.45 system-ui, sans-serif; margin: 2em auto; max-width: 1000px; color: #222; padding: 0 1em }
+table { border-collapse: collapse; margin: 1em 0 } td, th { padding: .15em .9em; text-align: right; border-bottom: 1px solid #ddd }
+td:first-child, th:first-child { text-align: left } code { background: #f3f3f3; padding: .1em .3em }
+h2 { margin-top: 2em } figure { margin: 1em 0 } figcaption { color: #555; max-width: 60em } svg { max-width: 100%; height: auto }
+</style>
+<h1>{{.Title}}</h1>
+<p>Played again by <code>{{.Command}}</code>.{{if .Faults}} Faults:{{range .Faults}} <code>{{.}}</code>{{end}}.{{end}}</p>
+<table><tr><th></th>{{range .Results}}<th>{{.Policy}}</th>{{end}}</tr>
+{{range .Rows}}<tr><td>{{.Name}}</td>{{range .Values}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>
+{{range .Plots}}<h2>{{.Name}}</h2>
+<figure>{{.Engines}}<figcaption>Engines, one a row, over time: white idle, blue all cores busy, red jobs sharing cores. Grey
+lines are the starts of faults.</figcaption></figure>
+<figure>{{.Jobs}}<figcaption>Jobs by when they were sent: in time (green), late (yellow), turned away (orange), no answer
+(red).</figcaption></figure>
+<figure>{{.Controllers}}<figcaption>Controllers by the jobs they had (across) and the part of them done in time (up).</figcaption></figure>
+<figure>{{.Calls}}<figcaption>Connections dialled to engines (blue) and calls to the feed (grey), over the fleet.</figcaption></figure>
+{{end}}</html>
+`
+
+// plots of one run.
+type plots struct {
+	Name                              string
+	Engines, Jobs, Controllers, Calls template.HTML
+}
+
+// Write writes the page.
+func Write(w io.Writer, p Page) error {
+	data := struct {
+		Page
+		Plots []plots
+	}{Page: p}
+	for _, r := range p.Results {
+		if r.Picture != nil {
+			data.Plots = append(data.Plots, plots{r.Policy, heat(r.Picture, p.Faults), outcomes(r.Picture, p.Faults),
+				fared(r.Picture), calls(r.Picture, p.Faults)})
+		}
+	}
+	return page().Execute(w, data)
+}
+
+// Sizes of a plot in pixels: left of it stands its scale.
+const width, left, bottom = 960, 56, 22
+
+// draw makes a plot of a height, with a frame and a scale of time under it.
+func draw(height int, length time.Duration, faults []fleet.Fault, paint func(*svg.SVG)) template.HTML {
+	var b bytes.Buffer
+	s := svg.New(&b)
+	s.Startview(width, height+bottom, 0, 0, width, height+bottom)
+	paint(s)
+	s.Rect(left, 0, width-left-1, height, "fill:none;stroke:#999")
+	if length > 0 {
+		step := max(length/10, time.Second).Round(time.Second)
+		for t := time.Duration(0); t <= length; t += step {
+			s.Text(across(t, length), height+16, fmt.Sprint(t), "font:11px sans-serif;text-anchor:middle;fill:#555")
+		}
+		for _, f := range faults {
+			if f.At < length {
+				s.Line(across(f.At, length), 0, across(f.At, length), height, "stroke:#777;stroke-dasharray:3,3")
+				s.Text(across(f.At, length)+3, 11, f.What, "font:11px sans-serif;fill:#555")
+			}
+		}
+	}
+	s.End()
+	drawn := b.Bytes()
+	if at := bytes.Index(drawn, []byte("<svg")); at > 0 { // the page has one declaration, its own
+		drawn = drawn[at:]
+	}
+	return template.HTML(drawn) // of numbers, and of names of faults that are from a list
+}
+
+func across(t, length time.Duration) int {
+	return left + int(float64(width-left-1)*float64(t)/float64(length))
+}
+
+// mark writes what a height of a plot stands for.
+func mark(s *svg.SVG, y int, text string) {
+	s.Text(left-4, y+4, text, "font:11px sans-serif;text-anchor:end;fill:#555")
+}
+
+// heat is how busy each engine was.
+func heat(p *spread.Picture, faults []fleet.Fault) template.HTML {
+	row := max(min(320/max(len(p.Engines), 1), 16), 3)
+	length := p.Window * time.Duration(len(p.Jobs))
+	return draw(row*len(p.Engines), length, faults, func(s *svg.SVG) {
+		for e, windows := range p.Engines {
+			for w, used := range windows {
+				x := across(time.Duration(w)*p.Window, length)
+				s.Rect(x, e*row, across(time.Duration(w+1)*p.Window, length)-x, row, "fill:"+shade(used))
+			}
+		}
+		mark(s, 8, "engine 0")
+		mark(s, row*len(p.Engines)-6, fmt.Sprint(len(p.Engines)-1))
+	})
+}
+
+// shade goes from white over blue, all cores busy, to red, three jobs a core.
+func shade(used float64) string {
+	if used <= 1 {
+		light := int(255 - 155*math.Max(used, 0))
+		return fmt.Sprintf("rgb(%d,%d,255)", light, light)
+	}
+	over := math.Min((used-1)/2, 1)
+	return fmt.Sprintf("rgb(%d,%d,%d)", int(100+155*over), int(100-60*over), int(255-215*over))
+}
+
+// outcomes are stacked bars of what became of jobs.
+func outcomes(p *spread.Picture, faults []fleet.Fault) template.HTML {
+	const height = 160
+	most := 1
+	for _, j := range p.Jobs {
+		most = max(most, j.Sent)
+	}
+	length := p.Window * time.Duration(len(p.Jobs))
+	return draw(height, length, faults, func(s *svg.SVG) {
+		for w, j := range p.Jobs {
+			x, y := across(time.Duration(w)*p.Window, length), height
+			wide := across(time.Duration(w+1)*p.Window, length) - x
+			for _, part := range []struct {
+				jobs  int
+				color string
+			}{{j.InTime, "#7ab87a"}, {j.Late, "#e6cf55"}, {j.Throttled, "#e8954a"}, {j.None, "#c93030"}} {
+				high := part.jobs * height / most
+				y -= high
+				s.Rect(x, y, wide, high, "fill:"+part.color)
+			}
+		}
+		mark(s, 8, fmt.Sprintf("%.0f/s", float64(most)/p.Window.Seconds()))
+		mark(s, height-4, "0")
+	})
+}
+
+// fared is a dot for each controller.
+func fared(p *spread.Picture) template.HTML {
+	const height = 140
+	if len(p.Controllers) == 0 {
+		return ""
+	}
+	most := max(slices.MaxFunc(p.Controllers, func(a, b spread.Share) int { return cmp.Compare(a.Jobs, b.Jobs) }).Jobs, 1)
+	return draw(height, 0, nil, func(s *svg.SVG) {
+		for _, c := range p.Controllers {
+			if c.Jobs > 0 {
+				x := left + (width-left-10)*c.Jobs/most
+				s.Circle(x, 5+int(float64(height-10)*(1-float64(c.InTime)/float64(c.Jobs))), 3, "fill:#3366aa;fill-opacity:0.5")
+			}
+		}
+		mark(s, 8, "all")
+		mark(s, height-4, "none")
+		s.Text(width-4, height+16, fmt.Sprintf("%d jobs", most), "font:11px sans-serif;text-anchor:end;fill:#555")
+	})
+}
+
+// calls are two lines.
+func calls(p *spread.Picture, faults []fleet.Fault) template.HTML {
+	const height = 100
+	most := max(slices.Max(p.Dials), slices.Max(p.FeedCalls), 1)
+	length := p.Window * time.Duration(len(p.Jobs))
+	return draw(height, length, faults, func(s *svg.SVG) {
+		for _, line := range []struct {
+			counts []int
+			color  string
+		}{{p.FeedCalls, "#999999"}, {p.Dials, "#3366aa"}} {
+			var xs, ys []int
+			for w, n := range line.counts {
+				xs = append(xs, across(time.Duration(w)*p.Window+p.Window/2, length))
+				ys = append(ys, height-n*height/most)
+			}
+			s.Polyline(xs, ys, "fill:none;stroke:"+line.color)
+		}
+		mark(s, 8, fmt.Sprintf("%.0f/s", float64(most)/p.Window.Seconds()))
+		mark(s, height-4, "0")
+	})
+}
--- /dev/null
+++ b/lab/fleet/rules_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestBrokenRules: the same run with the guard of one rule taken out breaks that rule by the audit's count, and with all
+// guards in it breaks none. Each rule has the faults that bring it into play.
+func TestBrokenRules(t *testing.T) {
+	for _, c := range []struct {
+		policy string
+		broken func(Audit) int
+		change func(*Options)
+	}{
+		{"without-rule-1", func(a Audit) int { return a.Lost }, func(o *Options) { o.PerSecond = 40 }},
+		{"without-rule-2", func(a Audit) int { return a.Repeated }, func(o *Options) {
+			o.Faults = []Fault{{What: "fail", Share: 0.6, At: 500 * time.Millisecond, For: 2 * time.Second}}
+		}},
+		{"without-rule-3", func(a Audit) int { return a.Drained }, func(o *Options) {
+			o.Length = 5 * time.Second
+			o.Faults = []Fault{{What: "replace", Share: 0.5, At: 500 * time.Millisecond, For: 500 * time.Millisecond}}
+		}},
+		{"random", func(a Audit) int { return a.Felled }, func(o *Options) { // rule 4: ours without its guard still has its bounds
+			o.Length, o.PerSecond = 4*time.Second, 60
+			o.Faults = []Fault{{What: "lose", Share: 0.5, At: 500 * time.Millisecond, For: 500 * time.Millisecond}}
+		}},
+		{"without-rule-6", func(a Audit) int { return a.Strayed }, func(o *Options) {}},
+		{"without-rule-7", func(a Audit) int { return a.Excess }, func(o *Options) {
+			o.PerSecond = 16
+			o.Faults = []Fault{{What: "fail", Share: 1, At: 500 * time.Millisecond, For: 2 * time.Second}}
+		}},
+	} {
+		t.Run(c.policy, func(t *testing.T) {
+			t.Parallel()
+			for _, policy := range []string{"", c.policy} {
+				o := Options{Program: program, Policy: policy, Controllers: 6, Engines: 4, Cores: 2, Rooms: 2, PerSecond: 8, Ruled: true,
+					Length: 3 * time.Second, Seed: 5, Say: t.Logf}
+				c.change(&o)
+				r, err := Run(context.Background(), o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if t.Logf("%q: %+v", policy, r.Audit); policy == "" && r.Audit.Broken() {
+					t.Errorf("broken with all guards in: %+v", r.Audit)
+				} else if policy != "" && c.broken(r.Audit) == 0 {
+					t.Errorf("not found: %+v", r.Audit)
+				}
+			}
+		})
+	}
+}
+
+// TestLinks: rooms that are cut off, deaf or mute, and links that are slow, thin or reset under requests: each job that a
+// controller took has its one answer, and the rules are kept.
+func TestLinks(t *testing.T) {
+	for _, what := range []string{"cut", "deaf", "mute", "silent", "delay", "reset", "thin"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(context.Background(), Options{Program: program, Controllers: 6, Engines: 4, Cores: 2, Rooms: 2, PerSecond: 8,
+				Length: 4 * time.Second, Seed: 7, Ruled: true, Say: t.Logf,
+				Faults: []Fault{{What: what, Share: 0.5, At: time.Second, For: 1500 * time.Millisecond}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Audit.Broken() {
+				t.Errorf("%+v", r.Audit)
+			}
+			t.Logf("in time %.3f, worst controller %.3f, throttled %.3f", r.Figures.InTime, r.Figures.Worst, r.Figures.Throttled)
+		})
+	}
+}
--- /dev/null
+++ b/lab/fleet/spread/picture.go
@@ -0,0 +1,85 @@
+package spread
+
+import "time"
+
+// Picture is a run over time, for plots.
+type Picture struct {
+	Window      time.Duration `json:"window_ns"`
+	Engines     [][]float64   `json:"engines"` // core time used by engine and window, over what it has
+	Jobs        []Slice       `json:"jobs"`    // by window, of when they were sent
+	Controllers []Share       `json:"controllers"`
+	Dials       []int         `json:"dials"` // by window
+	FeedCalls   []int         `json:"feed_calls"`
+}
+
+// Slice is what became of the jobs of one window.
+type Slice struct {
+	Sent, InTime, Late, Throttled, None int
+}
+
+// Share is how many jobs a controller had, and how many of them were done in time.
+type Share struct{ Jobs, InTime int }
+
+// pictureWindow shows faults of a second, and keeps a minute of 80 engines small.
+const pictureWindow = 250 * time.Millisecond
+
+// Draw gives the picture of a run.
+func Draw(r Run) *Picture {
+	n := max(int((r.To-r.From)/pictureWindow), 1)
+	p := &Picture{Window: pictureWindow, Engines: make([][]float64, r.Engines), Jobs: make([]Slice, n),
+		Controllers: make([]Share, r.Controllers), Dials: make([]int, n), FeedCalls: make([]int, n)}
+	at := func(t time.Duration) int {
+		if !r.inside(t) {
+			return -1
+		}
+		return min(int((t-r.From)/pictureWindow), n-1)
+	}
+	for e := range p.Engines {
+		p.Engines[e] = make([]float64, n)
+	}
+	for _, v := range r.Visits {
+		p.use(r, v)
+	}
+	for _, j := range r.Jobs {
+		w := at(j.Sent)
+		if w < 0 {
+			continue
+		}
+		s, c := &p.Jobs[w], &p.Controllers[j.Controller]
+		s.Sent++
+		c.Jobs++
+		switch {
+		case j.InTime:
+			s.InTime++
+			c.InTime++
+		case j.Done:
+			s.Late++
+		case j.Throttled:
+			s.Throttled++
+		default:
+			s.None++
+		}
+	}
+	for counts, times := range map[*[]int][]time.Duration{&p.Dials: r.Dials, &p.FeedCalls: r.FeedCalls} {
+		for _, t := range times {
+			if w := at(t); w >= 0 {
+				(*counts)[w]++
+			}
+		}
+	}
+	return p
+}
+
+// use adds the time that a dispatch ran to the windows of its engine, as a part of its cores: above 1 jobs share them.
+func (p *Picture) use(r Run, v Visit) {
+	for from := v.Began - r.From; v.Ended > v.Began && from < v.Ended-r.From; {
+		w := int(from / p.Window)
+		to := min(v.Ended-r.From, time.Duration(w+1)*p.Window)
+		if from >= 0 && w < len(p.Engines[v.Engine]) {
+			p.Engines[v.Engine][w] += float64(to-from) / float64(p.Window) / float64(r.cores(v.Engine))
+		} else if from >= 0 {
+			return
+		}
+		from = to
+	}
+}
--- a/lab/standin/feed/feed.go
+++ b/lab/standin/feed/feed.go
@@ -36,6 +36,8 @@
 	events []json.RawMessage
 	newer  chan struct{} // closed when there are more
 	calls  []time.Time   // the last of them, when they came
+	silent bool
+	spoken chan struct{} // closed when it is silent no more
 }
 
 // Start listens on an address; port 0 picks one.
@@ -72,6 +74,7 @@
 // Close ends it, with all calls.
 func (f *Feed) Close() {
 	_ = f.ln.Close()
+	f.Silent(false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for conn := range f.conns {
@@ -109,6 +112,28 @@
 	}
 }
 
+// Silent has it take calls and answer none, until it is told not to: what was asked meanwhile is answered then.
+func (f *Feed) Silent(yes bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if yes && !f.silent {
+		f.spoken = make(chan struct{})
+	} else if !yes && f.silent {
+		close(f.spoken)
+	}
+	f.silent = yes
+}
+
+// wait is over when it is not silent.
+func (f *Feed) wait() {
+	f.mu.Lock()
+	silent, spoken := f.silent, f.spoken
+	f.mu.Unlock()
+	if silent {
+		<-spoken
+	}
+}
+
 // Tell adds an event: the whole list, or what changed.
 func (f *Feed) Tell(whole bool, hosts ...Host) {
 	f.mu.Lock()
@@ -166,5 +191,6 @@
 		case <-late:
 		}
 	}
+	f.wait()
 	return f.Since(last)
 }
