Even load: thin answers pooled, turns at cold engines proved, homes by capacity, times apart

What was seen first, and the lines to blame: - A property test of the cold engines' limit, all controllers together asked as often as they like, broke its promise on the first draw: five controllers with jobs of two parts sent 10 s of work to an engine that stands 9.2. Turns lasted a whole span (coldAllows: turn*turns > 1), so all in turn at the start sent one and all whose turns began within the span another; and a wide job counted only in the spans before it. The pauses after failures move there from the adapter. - Homes are dealt by capacity. - Credit for bunches was half a widest job and ended at a slowness of 1.25 from 1.0 on; now a thread a core over the fleet.

What all save up in calm tips engines as a burst begins.

--- a/config/settings.go
+++ b/config/settings.go
@@ -7,6 +7,7 @@
 
 	"yarrowbarrow/decide/limit"
 	"yarrowbarrow/decide/spread"
+	"yarrowbarrow/decide/thin"
 	"yarrowbarrow/logic"
 )
 
@@ -151,13 +152,21 @@
 	return limits{limit.New(set)}
 }
 
-// Module makes the decision module with homes dealt by decide/spread and the limits of decide/limit.
+// slowness has decide/thin speak the module's types.
+type slowness struct{ *thin.Book }
+
+func (s slowness) Engine(location logic.Location, kind logic.KindName) logic.EngineSlowness {
+	return s.Book.Engine(thin.Location(location), thin.Kind(kind))
+}
+
+// Module makes the decision module with homes dealt by decide/spread, the limits of decide/limit, and what decide/thin makes
+// of few answers.
 func Module(host logic.Host, s logic.Settings, seed int64) *logic.Controller {
-	s.Limits = newLimits(s)
+	s.Limits, s.Slowness = newLimits(s), slowness{thin.New()}
 	s.Order = func(up []logic.Home, homes int) []logic.Home {
 		list, at := make([]spread.Engine, len(up)), make(map[spread.EngineID]logic.Home, len(up))
 		for n, e := range up {
-			list[n] = spread.Engine{ID: spread.EngineID(e.ID), Location: spread.Location(e.Location)}
+			list[n] = spread.Engine{ID: spread.EngineID(e.ID), Location: spread.Location(e.Location), Capacity: e.Cores}
 			at[list[n].ID] = e
 		}
 		for n, id := range spread.Order(list, s.Controllers, s.Number, homes) {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"math/rand"
 	"net"
 	"runtime"
 	"runtime/debug"
@@ -24,6 +23,7 @@
 	"yarrowbarrow/config"
 	"yarrowbarrow/decide/door"
 	"yarrowbarrow/decide/route"
+	"yarrowbarrow/decide/spread"
 	"yarrowbarrow/logic"
 )
 
@@ -57,7 +57,7 @@
 	module    func(logic.Host, logic.Settings, int64) logic.Module
 	router    *route.Router // nil without an operators' file
 	plan      *route.Plan   // the newest
-	rng       *rand.Rand    // for pauses between tries to reach the feed
+	apart     *spread.Apart // from the other controllers, in time
 	jobs      map[logic.JobID]*job
 	clients   map[door.ConnID]*client
 	connected door.ConnID // the newest
@@ -83,7 +83,7 @@
 // New prepares a controller; Run starts it.
 func New(cfg config.Config, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
-		rng: rand.New(rand.NewSource(cfg.Seed ^ 1)), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
+		apart: spread.NewApart(cfg.Settings.Logic.Controllers, cfg.Settings.Logic.Number, cfg.Seed^1), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*dispatch{}}
 	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return config.Module(h, s, seed) }
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -29,13 +29,13 @@
 	following bool
 	stopDial  context.CancelFunc // of the dial under way, if any
 	dial      int64              // its number, to tell given up dials apart
-	pause     time.Duration      // after the last failure
+	failures  int                // in a row
 }
 
 // longestWait is for the feed to hold a call, at most 5 s by its protocol; a call without an answer by slack later
 // has failed. Both together are below the two seconds in which a drain is usually to be acted on, as a connection
-// that is dead says nothing.
-const longestWait, callSlack = time.Second, 500 * time.Millisecond
+// that is dead says nothing. Calls wait for a second in the mean (decide/spread).
+const longestWait, callSlack = 4 * time.Second / 3, 500 * time.Millisecond
 
 // remembered tells the module what the configuration knows.
 func (f *feed) remembered(known []byte) error {
@@ -109,12 +109,12 @@
 	}
 	f.waits = true
 	f.call++
-	call := f.call
+	call, wait := f.call, c.apart.Poll(longestWait)
 	target := "/v1/events?SUB=" + strconv.FormatInt(f.last, 10) + "&wait=" +
-		strconv.FormatInt(int64(longestWait/time.Millisecond), 10)
+		strconv.FormatInt(int64(wait/time.Millisecond), 10)
 	f.link.add(http1.AppendGet(nil, f.address, target))
 	c.counts[feedCalls]++
-	c.at(c.now+longestWait+callSlack, func() {
+	c.at(c.now+wait+callSlack, func() {
 		if f.waits && f.call == call {
 			f.failed(errors.New("no answer in time"))
 		}
@@ -173,7 +173,7 @@
 	if address == f.address {
 		return
 	}
-	f.address, f.waits, f.pause = address, false, 0
+	f.address, f.waits, f.failures = address, false, 0
 	f.call++
 	f.dial++
 	if f.stopDial != nil {
@@ -204,12 +204,12 @@
 	}
 }
 
-// failed guards against a feed that is away or broken: it is tried again after a pause that grows and is drawn,
-// so that controllers that lost it together do not come back together.
+// failed guards against a feed that is away or broken: it is tried again after a pause that grows and is drawn
+// (decide/spread), so that controllers that lost it together do not come back together.
 func (f *feed) failed(err error) {
 	c := f.c
 	c.counts[feedFailures]++
-	if f.pause == 0 { // once, not at each try
+	if f.failures == 0 { // once, not at each try
 		c.note(slog.LevelWarn, "feed lost", "why", err)
 	}
 	f.waits = false
@@ -217,15 +217,14 @@
 		c.closeSoon(f.link.conn)
 		f.link = nil
 	}
-	// The pauses are short for the same reason; one call in that time is little to ask of a feed that comes back.
-	f.pause = min(max(2*f.pause, 50*time.Millisecond), 400*time.Millisecond)
+	f.failures++
 	if c.cfg.Settings.Logic.ListOnRequest {
 		f.following = false
 		c.logic.ListBegins(c.now, logic.ListRefused)
 		c.logic.ListEnds(c.now)
 		return
 	}
-	c.at(c.now+f.pause/2+time.Duration(c.rng.Int63n(int64(f.pause))), func() {
+	c.at(c.now+c.apart.Again(f.failures), func() {
 		if f.following && !f.waits && f.link == nil {
 			f.ask()
 		}
@@ -282,10 +281,10 @@
 	case f.last < before: // numbers that can't be right: not at once again
 		f.failed(errors.New("events are missing"))
 	case f.following:
-		if f.pause > 0 {
+		if f.failures > 0 {
 			c.note(slog.LevelInfo, "feed answers again")
 		}
-		f.pause = 0
+		f.failures = 0
 		f.ask()
 	}
 }
--- a/decide/limit/cold.go
+++ b/decide/limit/cold.go
@@ -13,6 +13,7 @@
 	since  time.Duration // when it started, 0 for long ago
 	lately []sending
 	given  time.Duration // all work sent
+	rests  time.Duration // after a job of more than a part, until then
 }
 
 // sending is one; before is all work that was sent until then.
@@ -36,31 +37,47 @@
 // is what capacity counts.
 const coldThreads, coldBusy = 1.5, 0.85
 
+// turnWidth is the part of a span that a turn lasts: in any span can begin those turns that begin in it, and those that
+// had begun before; a third more than in the mean is what coldShare leaves room for.
+const turnWidth = 0.5
+
 // Allows keeps rule 4. Of what a cold engine stands in the span, each controller at home there takes an equal part, others
 // none; share is the part of all controllers' homes on it, as in homes of a controller over engines. A job of more than a
-// part goes in turn: turns are spread by number over as many spans as it needs parts; clocks need only roughly agree. A
-// start is taken to ramp up along half a line. Harm: an engine that stays at its least, lists that differ.
+// part goes in turn: turns are spread by number over as many spans as it needs parts, and so many spans have to lie between
+// the start and it, and behind it; clocks need only roughly agree. Guards against controllers that a start finds with wide
+// jobs in hand: without it all in turn sent one, and all others their parts, half as much again as is meant. A start is
+// taken to ramp up along half a line. Harm: an engine that stays at its least, lists that differ.
 func (e *Engine) Allows(now, work time.Duration, share float64) bool {
 	if !e.Cold(now) {
 		return true
 	}
-	l := e.of
-	bears := coldBusy * e.cores * coldThreads // work in a time, when warm
-	whole := coldShare * l.set.FallMultiple * e.warmth(now) * bears * float64(l.set.Fall)
-	part := whole / (share * l.many)
-	sum := float64(work)
-	turns := math.Max(1, math.Ceil(sum/part))
-	_, turn := math.Modf(float64(now)/float64(l.set.Fall)/turns + float64(l.set.Number)*math.Phi)
-	if share == 0 || sum > whole || turn*turns > 1 {
+	part, whole := e.part(now, share)
+	turns, sum := math.Max(1, math.Ceil(float64(work)/part)), float64(work)
+	if share == 0 || sum > whole || now < e.rests || turns > 1 && !e.turn(now, turns) {
 		return false
 	}
-	from := now - l.set.Fall*time.Duration(turns)
+	from := now - e.of.set.Fall*time.Duration(turns)
 	if n := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= from }); n < len(e.lately) {
 		sum += float64(e.given - e.lately[n].before)
 	}
 	return sum <= turns*part
 }
 
+// part is what this controller may send in a span, and whole what all may.
+func (e *Engine) part(now time.Duration, share float64) (part, whole float64) {
+	set := &e.of.set
+	bears := coldBusy * e.cores * coldThreads // work in a time, when warm
+	whole = coldShare * set.FallMultiple * e.warmth(now) * bears * float64(set.Fall)
+	return whole / (share * e.of.many), whole
+}
+
+// turn tells whether it is this controller's, one in so many spans.
+func (e *Engine) turn(now time.Duration, turns float64) bool {
+	set := &e.of.set
+	_, at := math.Modf(float64(now)/float64(set.Fall)/turns + float64(set.Number)*math.Phi)
+	return at*turns <= turnWidth && float64(now-e.since) >= turns*float64(set.Fall)
+}
+
 // warmth is the share of its capacity that a cold engine surely has.
 func (e *Engine) warmth(now time.Duration) float64 {
 	set := &e.of.set
@@ -69,8 +86,11 @@
 }
 
 // Sent keeps what went there. It is kept for warm engines too, as the word of a start comes late.
-func (e *Engine) Sent(now, work time.Duration, _ float64) {
+func (e *Engine) Sent(now, work time.Duration, share float64) {
 	old := sort.Search(len(e.lately), func(n int) bool { return e.lately[n].at >= now-e.of.set.Cold })
 	e.lately = append(e.lately[old:], sending{now, e.given})
 	e.given += work
+	if part, _ := e.part(now, share); e.Cold(now) && float64(work) > part {
+		e.rests = now + time.Duration(math.Ceil(float64(work)/part))*e.of.set.Fall
+	}
 }
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -65,6 +65,50 @@
 	keep(t, lines)
 }
 
+// TestColdTogether: whatever the controllers of a fleet are asked to send, and however often, together they stay under
+// the share of the multiple that makes a cold engine fall, in every span, by the engine's own count.
+func TestColdTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controllers := rapid.IntRange(1, 12).Draw(t, "controllers")
+		set := Settings{Controllers: controllers, StartCapacity: 0.3, Cold: 10 * time.Second, FallMultiple: 3, Fall: 2 * time.Second}
+		var engines []*Engine
+		for set.Number = range controllers {
+			e := New(set).Engine(4)
+			e.Started(time.Minute)
+			engines = append(engines, e)
+		}
+		type came struct{ at, work time.Duration }
+		var all []came
+		works := rapid.SliceOfN(rapid.SampledFrom([]time.Duration{40 * ms, 400 * ms, 1500 * ms, 2500 * ms}), 1, 6).Draw(t, "works")
+		asked := rapid.SliceOfN(rapid.IntRange(0, 99), controllers, controllers).Draw(t, "asked") // from step to step, of a hundred
+		for step, now := 0, time.Minute; now < time.Minute+9*time.Second; now += 20 * ms {
+			for n, e := range engines {
+				step++
+				if work := works[(step+n)%len(works)]; step*7919%100 >= asked[n] && e.Allows(now, work, 1) {
+					e.Sent(now, work, 1)
+					all = append(all, came{now, work})
+				}
+			}
+		}
+		if len(all) == 0 {
+			t.Fatal("nothing may go at all")
+		}
+		for _, first := range all {
+			sum := time.Duration(0)
+			for _, c := range all {
+				if c.at >= first.at && c.at < first.at+set.Fall {
+					sum += c.work
+				}
+			}
+			age := float64(first.at-time.Minute) / float64(set.Cold)
+			most := set.FallMultiple * (set.StartCapacity + (1-set.StartCapacity)*age) * coldBusy * coldThreads * 4 * set.Fall.Seconds()
+			if sum.Seconds() > most {
+				t.Fatalf("%v from %v on, at most %.1f s are allowed", sum, first.at-time.Minute, most)
+			}
+		}
+	})
+}
+
 // TestBudget: in no window more further dispatches than the settings allow, by a count beside it.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/decide/spread/deal.go
+++ b/decide/spread/deal.go
@@ -3,7 +3,7 @@
 // no clock.
 //
 // Its promises, for controllers that hold the same list and deal the same number of homes: every engine is home to the
-// same number of controllers, within one; no controller has an engine twice; a controller's homes follow the engines over
+// same number of controllers, within one, or to as many as its part of all capacity; no controller has an engine twice; a controller's homes follow the engines over
 // locations; a change of one engine moves few homes beside its own. Fewer homes are the first of them, and more are the
 // engines behind, both by chance of each controller's own.
 package spread
@@ -24,6 +24,7 @@
 type Engine struct {
 	ID       EngineID
 	Location Location
+	Capacity float64 // against the others', as in cores; 0 counts as 1
 }
 
 // mix spreads the bits of a number: the finalizer of splitmix64, as published.
@@ -72,9 +73,11 @@
 type dealing struct {
 	engines []Engine // in an order of their own, by key
 	keys    []uint64
-	rooms   [][]int // engines by location, locations by name
-	hands   [][]int // homes by controller
-	left    []int   // controllers that an engine still takes
+	weights []float64 // capacities, the mean being 1
+	rooms   [][]int   // engines by location, locations by name
+	weight  []float64 // of each room
+	hands   [][]int   // homes by controller
+	left    []int     // controllers that an engine still takes
 }
 
 func deal(list []Engine, controllers, homes int) *dealing {
@@ -88,6 +91,7 @@
 	})
 	d.engines = slices.CompactFunc(d.engines, func(a, b Engine) bool { return a.ID == b.ID })
 	byRoom := map[Location][]int{}
+	d.weigh()
 	for n, e := range d.engines {
 		d.keys = append(d.keys, keys[e.ID])
 		byRoom[e.Location] = append(byRoom[e.Location], n)
@@ -99,6 +103,11 @@
 	slices.Sort(names)
 	for _, name := range names {
 		d.rooms = append(d.rooms, byRoom[name])
+		sum := 0.0
+		for _, e := range byRoom[name] {
+			sum += d.weights[e]
+		}
+		d.weight = append(d.weight, sum)
 	}
 	homes = min(max(homes, 0), len(d.engines))
 	d.allow(homes * len(d.hands))
@@ -115,23 +124,68 @@
 	return d
 }
 
-// allow gives each engine its number of controllers: equal shares, and one more to the first by key, the rooms in turn.
-func (d *dealing) allow(total int) {
-	d.left = make([]int, len(d.engines))
-	if len(d.engines) == 0 {
-		return
+func (d *dealing) weigh() {
+	sum := 0.0
+	for _, e := range d.engines {
+		d.weights = append(d.weights, cmp.Or(math.Max(e.Capacity, 0), 1))
+		sum += d.weights[len(d.weights)-1]
 	}
-	for n := range d.left {
-		d.left[n] = total / len(d.engines)
+	for n := range d.weights {
+		d.weights[n] *= float64(len(d.engines)) / sum
 	}
-	extra := total % len(d.engines)
-	for turn := 0; extra > 0; turn++ {
+}
+
+// allow gives each engine its number of controllers: shares by capacity, but none more controllers than there are, and what
+// is left over to those whose share was cut most, of equals to the first by key, the rooms in turn.
+func (d *dealing) allow(total int) {
+	d.left = make([]int, len(d.engines))
+	var turns []int
+	for turn := 0; len(turns) < len(d.engines); turn++ {
 		for _, room := range d.rooms {
-			if turn < len(room) && extra > 0 {
-				d.left[room[turn]]++
-				extra--
+			if turn < len(room) {
+				turns = append(turns, room[turn])
+			}
+		}
+	}
+	share := make([]float64, len(d.engines))
+	for {
+		left, weight := float64(total), 0.0
+		for e := range share {
+			if share[e] = float64(len(d.hands)); d.left[e] < 0 { // has all controllers
+				left -= share[e]
+			} else {
+				weight += d.weights[e]
 			}
 		}
+		full := false
+		for e := range share {
+			if d.left[e] < 0 {
+				continue
+			}
+			if share[e] = left * d.weights[e] / weight; share[e] >= float64(len(d.hands)) {
+				share[e], d.left[e], full = float64(len(d.hands)), -1, true
+			}
+		}
+		if !full {
+			break
+		}
+	}
+	for e := range share {
+		d.left[e] = int(share[e] + 1e-9) // shares that should be whole may lie a hair under it
+		share[e] -= float64(d.left[e])
+		total -= d.left[e]
+	}
+	slices.SortStableFunc(turns, func(a, b int) int {
+		if math.Abs(share[a]-share[b]) < 1e-9 {
+			return 0
+		}
+		return cmp.Compare(share[b], share[a])
+	})
+	for _, e := range turns {
+		if total > 0 && d.left[e] < len(d.hands) {
+			d.left[e]++
+			total--
+		}
 	}
 }
 
@@ -140,8 +194,8 @@
 func (d *dealing) room(k, round, homes int) int {
 	_, start := math.Modf(float64(k) * math.Phi)
 	at := (float64(round) + start) / float64(homes) * float64(len(d.engines))
-	for r, room := range d.rooms {
-		if at -= float64(len(room)); at < 0 {
+	for r, weight := range d.weight {
+		if at -= weight; at < 0 {
 			return r
 		}
 	}
--- a/decide/spread/deal_test.go
+++ b/decide/spread/deal_test.go
@@ -20,7 +20,7 @@
 
 func list(n, rooms int) (engines []Engine) {
 	for i := range n {
-		engines = append(engines, Engine{EngineID(fmt.Sprintf("engine-%d", i*7919)), Location(fmt.Sprint("room-", i%rooms))})
+		engines = append(engines, Engine{EngineID(fmt.Sprintf("engine-%d", i*7919)), Location(fmt.Sprint("room-", i%rooms)), 0})
 	}
 	return engines
 }
@@ -46,6 +46,37 @@
 	})
 }
 
+// TestCapacity: engines have homes by capacity, within one, and none has a controller twice though it is larger than all
+// others together.
+func TestCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := list(rapid.IntRange(1, 60).Draw(t, "engines"), rapid.IntRange(1, 3).Draw(t, "rooms"))
+		controllers, homes := rapid.IntRange(1, 100).Draw(t, "controllers"), rapid.IntRange(1, 6).Draw(t, "homes")
+		for n := range engines {
+			engines[n].Capacity = rapid.SampledFrom([]float64{4, 8, 16, 400}).Draw(t, "cores")
+		}
+		d := deal(engines, controllers, homes)
+		count, dealt := make([]float64, len(engines)), 0.0
+		for k, hand := range d.hands {
+			if want := min(homes, len(engines)); len(hand) != want || len(distinct(hand)) != want {
+				t.Fatalf("controller %d has %v, %d are wanted", k, hand, want)
+			}
+			for _, e := range hand {
+				count[e]++
+				dealt++
+			}
+		}
+		for a := range count {
+			for b := range count {
+				// One that has fewer than its part, beside one that has more, though it could have another controller.
+				if count[a] < float64(controllers) && (count[a]+1)/d.weights[a] < (count[b]-1)/d.weights[b] {
+					t.Fatalf("%g of capacity %g beside %g of %g", count[a], d.weights[a], count[b], d.weights[b])
+				}
+			}
+		}
+	})
+}
+
 func distinct(hand []int) []int {
 	hand = slices.Clone(hand)
 	slices.Sort(hand)
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -26,3 +26,25 @@
 		})
 	}
 }
+
+// BenchmarkEngines: the same at a controller of a fleet of 300, with few and with many engines.
+func BenchmarkEngines(b *testing.B) {
+	for _, many := range []int{8, 80, 800} {
+		b.Run(fmt.Sprintf("engines=%d", many), func(b *testing.B) {
+			h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
+			h.start(func(s *Settings) { s.Controllers, s.Number = 300, 7 })
+			h.c.ListBegins(h.now, ListWhole)
+			for n := range many {
+				h.c.EngineListed(h.now, EngineID(fmt.Sprintf("e%03d", n)), "here", "k", 0, Up, 1, 0)
+			}
+			h.c.ListEnds(h.now)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.now += 10 * time.Millisecond
+				h.c.JobTaken(h.now, "j", "lookup", "", "", h.now+2*time.Second, 20*ms, 0, 2, false, nil)
+				h.c.DispatchOver(h.now, "j", 0, h.c.byID["e000"].id, Done, 20*ms, true, 20*ms, 0, Load{})
+				h.trace.Reset()
+			}
+		})
+	}
+}
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"yarrowbarrow/decide/limit"
+	"yarrowbarrow/decide/thin"
 )
 
 var update = flag.Bool("update", false, "write the traces anew, to be read before they are kept")
@@ -73,9 +74,16 @@
 	s.Limits = limits{limit.New(limit.Settings{Controllers: s.Controllers, Number: s.Number, BudgetWindow: s.BudgetWindow,
 		BudgetFree: s.BudgetFree, BudgetShare: s.BudgetShare, StartCapacity: s.StartCapacity, Cold: s.Cold,
 		FallMultiple: s.FallMultiple, Fall: s.Fall})}
+	s.Slowness = slowness{thin.New()}
 	h.c = New(h, s, 1)
 }
 
+type slowness struct{ *thin.Book }
+
+func (s slowness) Engine(l Location, k KindName) EngineSlowness {
+	return s.Book.Engine(thin.Location(l), thin.Kind(k))
+}
+
 // limits are those of decide/limit, without customers' shares.
 type limits struct{ *limit.Limits }
 
--- a/logic/host.go
+++ b/logic/host.go
@@ -74,6 +74,18 @@
 	Engine(cores float64) EngineLimit
 }
 
+// Slowness pools what few answers tell of engines; decide/thin does.
+type Slowness interface {
+	Engine(location Location, kind KindName) EngineSlowness
+}
+
+// EngineSlowness is an engine's latency over the best one, 1 and up.
+type EngineSlowness interface {
+	Answered(now time.Duration, slow float64)
+	Anew() // its process is another
+	Slow(now time.Duration) float64
+}
+
 // EngineLimit is the limit on work for an engine that has just started.
 type EngineLimit interface {
 	Started(since time.Duration) // 0 for long ago
@@ -209,14 +221,16 @@
 	// Order gives engines in the order in which this controller has them for homes, so many of which are dealt for the
 	// whole fleet; nil: as they are.
 	Order func(up []Home, homes int) []Home
-	// Limits begin with the module.
-	Limits Limits
+	// These begin with the module.
+	Limits   Limits
+	Slowness Slowness
 }
 
 // Home is an engine that may be one.
 type Home struct {
 	ID       EngineID
 	Location Location
+	Cores    float64
 }
 
 func (s *Settings) order(up []Home, homes int) []Home {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,7 +79,7 @@
 	cores, memoryMB float64
 	bound, threads  float64 // threads this controller may have there, and has
 	dealt           float64 // the bound, dealt out by whole jobs
-	slow            mean    // latency over the best
+	slow            EngineSlowness
 	out             []*job
 	limit           EngineLimit   // of rule 4
 	errors          float64       // share of late
@@ -110,12 +110,12 @@
 	widest                 float64       // threads of the widest type
 	shortest               time.Duration // least SLA time
 	many                   float64       // controllers
-	up, cold               float64       // engines that take jobs, and those of them that are cold
+	up, cores, cold        float64       // engines that take jobs, their cores, and those of them that are cold
 	homes, entire          float64       // engines that the bounds are dealt out to; all bounds
 	bound, threads         float64       // as an engine's, over all in use; a cold one's bound is what it has
 	credit                 float64       // thread seconds of the bounds left unused of late, when metered
 	metered                time.Duration
-	slow, full             mean // as an engine's, over all of them
+	slow, full             mean // latency over the best, and memory granted, over all engines
 }
 
 const sweepTimer, askTimer TimerID = 1, 2
@@ -160,7 +160,7 @@
 		if n := slices.IndexFunc(c.set.Kinds, func(k EngineKind) bool { return k.Name == kind }); n >= 0 {
 			e.cores, e.memoryMB = c.set.Kinds[n].Cores, c.set.Kinds[n].MemoryMB
 		}
-		e.limit = c.limits.Engine(e.cores)
+		e.limit, e.slow = c.limits.Engine(e.cores), c.set.Slowness.Engine(location, kind)
 		e.limit.Started(since)
 		c.startBound(e)
 	}
@@ -196,7 +196,7 @@
 	room := 0.0
 	for _, e := range c.engines {
 		if e.state == Up {
-			up, room = append(up, Home{e.id, e.location}), room+e.cores*startThreads/(1+c.many)
+			up, room = append(up, Home{e.id, e.location, e.cores}), room+e.cores*startThreads/(1+c.many)
 		}
 	}
 	for n, home := range c.set.order(up, int(math.Ceil(room/c.widest))) {
@@ -209,7 +209,7 @@
 const startThreads = 3.0
 
 func (c *Controller) startBound(e *engine) {
-	e.slow = mean{}
+	e.slow.Anew()
 	e.bound = e.cores * startThreads / (1 + c.many)
 }
 
@@ -353,13 +353,14 @@
 
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
-// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
+// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed. It
+// is a thread a core over all controllers: more of it, saved up by all, tipped engines as a burst began.
 // Cold engines are left to their limits: guards the others against jobs for which only the cold have bounds.
 func (c *Controller) fleet() {
-	most := c.widest / 2 * math.Min(1, 4*math.Max(0, 1.25-c.slow.value))
+	most := math.Min(c.widest, c.cores/c.many) * math.Min(1, 8*math.Max(0, 1.25-c.slow.value))
 	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
 	var bad, badBound, badThreads float64
-	c.metered, c.up, c.cold, c.entire, c.bound, c.threads = c.now, 0, 0, 0, 0, 0
+	c.metered, c.up, c.cores, c.cold, c.entire, c.bound, c.threads = c.now, 0, 0, 0, 0, 0, 0
 	for _, e := range c.engines {
 		if e.state != Up {
 			continue
@@ -368,7 +369,8 @@
 		if e.limit.Cold(c.now) {
 			c.cold, bound = c.cold+1, e.threads
 		}
-		c.up, c.entire, c.bound, c.threads = c.up+1, c.entire+e.bound, c.bound+bound, c.threads+e.threads
+		c.up, c.cores, c.entire = c.up+1, c.cores+e.cores, c.entire+e.bound
+		c.bound, c.threads = c.bound+bound, c.threads+e.threads
 		if e.suspected {
 			bad, badBound, badThreads = bad+1, badBound+bound, badThreads+e.threads
 		}
@@ -395,9 +397,13 @@
 // as have room for the widest job each, the homes, of which none drains.
 func (c *Controller) deal() {
 	c.homes = math.Max(1, math.Min(math.Ceil(c.entire/c.widest), c.up))
+	part := c.homes / c.cores // of all controllers that a core has
+	if c.homes == c.up {
+		part = 1
+	}
 	for _, e := range c.engines {
 		if e.dealt = 0; e.state == Up && e.rank < int(c.homes) {
-			e.dealt = e.bound * c.up / c.homes
+			e.dealt = e.bound / math.Min(1, part*e.cores)
 		}
 	}
 }
@@ -441,7 +447,7 @@
 	// for about a second.
 	like := c.rng.Float64()/4 - 2*(e.full-c.full.value)*math.Exp(e.reported-c.now.Seconds())
 	if c.slow.value > 0 {
-		like -= c.slowness(e) / c.slow.value
+		like -= e.slow.Slow(c.now) / c.slow.value
 	}
 	if e.location == c.set.Location {
 		like += 0.5 // crossing costs little, so only near-equals
@@ -500,12 +506,12 @@
 	return true
 }
 
-// share is the part of all controllers' homes that an engine has, none where this one is not at home.
+// share is the part of all controllers that have an engine for a home, by its cores, none where this one has not.
 func (c *Controller) share(e *engine) float64 {
 	if e.dealt == 0 {
 		return 0
 	}
-	return c.homes / c.up
+	return e.bound / e.dealt
 }
 
 func (c *Controller) usualWork(j *job) time.Duration {
@@ -571,7 +577,7 @@
 	}
 	if load.MemoryGranted > 0 {
 		e.full, e.reported = load.MemoryGranted, now.Seconds()
-		c.full.add(e.full, slowOver)
+		c.full.add(e.full, fullOver)
 	}
 	c.judge(j, d, o)
 	if o == Done {
@@ -636,12 +642,13 @@
 	} else {
 		e.wait = min(2*e.wait, 4*time.Second)
 	}
-	e.suspected, e.trial = true, c.now+e.wait
+	// Drawn, as all controllers that lost it together would try it together.
+	e.suspected, e.trial = true, c.now+time.Duration((0.75+c.rng.Float64()/2)*float64(e.wait))
 }
 
-// One bad plan or wait behind a load shrinks no bound; slowness spans about a bound's worth of answers.
+// One bad plan or wait behind a load shrinks no bound; memory granted spans about a bound's worth of answers.
 // The means of a type span learnOver jobs, seconds of a quick type.
-const mostSlow, slowOver, learnOver = 4, 20, 60
+const mostSlow, fullOver, learnOver = 4, 20, 60
 
 func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
 	r := j.row
@@ -689,10 +696,10 @@
 		return p * math.Min(j.row.Threads/math.Max(bound, 1)/bound, 0.25)
 	}
 	slow = math.Max(slow, math.Min(target*full/1.25, mostSlow))
-	e.slow.add(slow, slowOver)
+	e.slow.Answered(c.now, slow)
 	c.slow.add(slow, 10)
 	c.fleet()
-	e.bound *= 1 + push(c.slowness(e), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
+	e.bound *= 1 + push(e.slow.Slow(c.now), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
 	all := 1 + push(1.07*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
 	until := most + (wide-most)*math.Max(0, math.Min(1, (1.3-c.slow.value)/0.3))
 	for _, e := range c.engines {
@@ -700,19 +707,14 @@
 	}
 }
 
-// slowness is an engine's latency over the best; with few or old answers from it, that of all engines.
-func (c *Controller) slowness(e *engine) float64 {
-	weight := e.slow.n * math.Exp((e.answered-c.now).Seconds()/10)
-	return (weight*e.slow.value + 3*c.slow.value) / (weight + 3)
-}
-
 // end gives the final answer: a throttling reply where it is true that a retry does no harm.
 func (c *Controller) end(j *job) {
 	c.unhold(j)
 	j.ended = true
 	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
-		// The advised wait is the time that the held work takes.
-		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(c.drain(j)*float64(time.Second))))
+		// The advised wait is the time that the held work takes, and up to as much again, or all come back together.
+		wait := c.drain(j) * (1 + c.rng.Float64()) * float64(time.Second)
+		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(wait)))
 	} else {
 		c.host.CancelForGood(j.id)
 	}
