--- a/cmd/yarrowbarrow/fleet.go
+++ b/cmd/yarrowbarrow/fleet.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -22,6 +23,7 @@
 type fleetCommands struct {
 	Play    fleetCommand   `cmd:"" default:"withargs" help:"Play a fleet (also without a word)."`
 	Compare compareCommand `cmd:"" help:"Play two policies or builds in pairs on the same seeds, and tell the difference with its interval."`
+	Days    daysCommand    `cmd:"" help:"Play days on which operators have seen things go wrong, and show one line for each."`
 	Faults  faultsCommand  `cmd:"" help:"List what may go wrong."`
 }
 
@@ -335,6 +337,75 @@
 	_ = w.Flush()
 }
 
+type daysCommand struct {
+	Only     []string `help:"Of the days, by name."`
+	Policies []string `default:"own,two-choices" help:"As for play, each on each day."`
+	JSON     bool     `help:"Print as JSON."`
+	fleetFlags
+}
+
+func (c *daysCommand) Run(out *output) error {
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	type played struct {
+		Day string `json:"day"`
+		fleet.Result
+	}
+	var all []played
+	broken := false
+	for _, day := range fleet.Days {
+		if len(c.Only) > 0 && !slices.Contains(c.Only, day.Name) {
+			continue
+		}
+		so, err := day.Options(o)
+		if err != nil {
+			return err
+		}
+		for _, text := range c.Policies {
+			w, err := wayOf(text)
+			if err != nil {
+				return err
+			}
+			r, err := w.play(ctx, so, out.log)
+			if err != nil {
+				return err
+			}
+			all = append(all, played{day.Name, r})
+			broken = broken || broke(r)
+		}
+	}
+	if c.JSON {
+		err = asJSON(out, all)
+	} else {
+		w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+		fmt.Fprintln(w, "day\tpolicy\tbusiest 1s\t10s\therd\tworst\tidle %\tthrottled %\tin time %\tworst %\tdials\tpeak\tfeed\tpeak\trules")
+		for _, p := range all {
+			f, rules := p.Figures, "kept"
+			if a := p.Audit; a.Broken() {
+				rules = fmt.Sprintf("%+v", a)
+			}
+			at := func(n int) float64 {
+				if n < len(f.Windows) {
+					return f.Windows[n].Busiest
+				}
+				return 0
+			}
+			fmt.Fprintf(w, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\t%.1f\t%d\t%.1f\t%s\n", p.Day, p.Policy, at(1), at(2), f.Herd,
+				f.HerdMost, 100*f.Idle, 100*f.Throttled, 100*f.InTime, 100*f.Worst, f.Dials.Total, f.Dials.Most, f.FeedCalls.Total,
+				f.FeedCalls.Most, rules)
+		}
+		err = w.Flush()
+	}
+	if err == nil && broken {
+		err = errFindings
+	}
+	return err
+}
+
 type faultsCommand struct{}
 
 func (faultsCommand) Run(out *output) error {
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -119,3 +119,17 @@
 		t.Errorf("%+v", one)
 	}
 }
+
+// TestDays: all that is written there can be played.
+func TestDays(t *testing.T) {
+	for _, d := range Days {
+		if o, err := d.Options(Options{}); err != nil || len(o.Faults) != len(d.Script) {
+			t.Error(d.Name, err)
+		}
+		for _, text := range d.Script {
+			if f, _ := ParseFault(text); faults[f.What].link && f.What != "silent" && d.Rooms < 2 && faults[f.What].on == rooms {
+				t.Errorf("%s: %s cuts a single room off from nothing", d.Name, text)
+			}
+		}
+	}
+}
