Membership between processes over UDP: fleet section, keys, status socket, members command

Need: first step of the issue: five processes find each other, one is killed, and the four say so.

Change: member/gossip carries decide/member over UDP, full states over TCP at the same address, each under a code of a shared key (two valid at once, read again on HUP), with windows against replay and bounds on bytes both ways; CBOR with numbered fields, unknown ones skipped. [fleet] in the operators' language, checked; off without it. A local status socket and 'yarrowbarrow members'. lab/fleet/relay has a mesh for datagrams between instances: silence, loss, doubles, delay. hashicorp/memberlist was weighed and not taken: it has no ages that bound anything, and no clock to hand over.

--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -32,6 +32,7 @@
 	Demo       demoCommand       `cmd:"" help:"Play a minute of load between stand-in engines, with an operators' file."`
 	Fleet      fleetCommands     `cmd:"" help:"Play hundreds of controllers between stand-in engines, and tell how evenly these were used."`
 	Baseline   baselineCommand   `cmd:"" hidden:"" help:"Serve with a plain policy, to measure against."`
+	Members    membersCommand    `cmd:"" help:"Show whom a running instance knows in its fleet, and how fresh that is."`
 	Version    versionCommand    `cmd:"" help:"Show the version of this program."`
 	Completion completionCommand `cmd:"" help:"Write a completion script for bash."`
 }
--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -40,6 +40,12 @@
 	if s.change != nil {
 		s.change(c)
 	}
+	fleet, leave, err := talk(cfg, log.With("name", cfg.Name))
+	if err != nil {
+		log.Error("fleet", "why", err)
+		return errFindings
+	}
+	defer leave()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	show := make(chan os.Signal, 1)
@@ -52,6 +58,11 @@
 	go func() {
 		for range reload {
 			_ = c.Reload(read) // which logs and counts what is wrong
+			if fleet != nil {
+				if err := fleet.ReadKeys(); err != nil {
+					log.Error("key not taken", "why", err)
+				}
+			}
 		}
 	}()
 	if err := c.Run(ctx); err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -30,6 +30,7 @@
 	Settings Settings
 	// The operators' routes, of their file; nil without one.
 	Plan     *route.Plan
+	Fleet    *lang.Fleet   // whom this instance talks to; nil: to nobody
 	Messages lang.Messages // of its check, also where it was faulty
 }
 
@@ -54,7 +55,7 @@
 func (c *Config) readOperators(path string) error {
 	platform := c.Platform()
 	loaded := lang.Load(path, &platform)
-	c.Plan, c.Messages = loaded.Plan, loaded.Messages
+	c.Plan, c.Fleet, c.Messages = loaded.Plan, loaded.Fleet, loaded.Messages
 	return loaded.Messages.Err()
 }
 
--- a/config/lang/check.go
+++ b/config/lang/check.go
@@ -34,6 +34,7 @@
 type Config struct {
 	Plan     *route.Plan // nil where there is an error
 	Messages Messages
+	Fleet    *Fleet   // whom instances talk to; nil where none is set, or there is an error
 	Files    []string // in the order in which they were read
 	checker  *checker
 }
@@ -72,7 +73,7 @@
 	}
 	slices.Sort(out.Files)
 	if l.messages.Errors() == 0 {
-		out.Plan = c.plan
+		out.Plan, out.Fleet = c.plan, c.fleet
 	}
 	return out
 }
@@ -86,6 +87,7 @@
 	policies map[string]*route.Policy
 	used     map[*section]bool
 	plan     *route.Plan
+	fleet    *Fleet
 }
 
 func (c *checker) check() {
@@ -112,6 +114,7 @@
 		}
 	}
 	c.teams()
+	c.fleets()
 	bySection := map[*route.Route]*section{}
 	for _, s := range c.sections {
 		if s.kind == "route" {
@@ -225,7 +228,7 @@
 		return nil
 	}
 	values := e.node.Entry.Values
-	if single := k.form != patternsForm && k.form != namesForm; single && len(values) > 1 {
+	if single := k.form != patternsForm && k.form != namesForm && k.form != textsForm; single && len(values) > 1 {
 		c.say(e.at, values[1].Pos.Column, fmt.Sprintf("%s takes one value, here are %d", k.name, len(values)), "one value")
 		return nil
 	}
@@ -249,7 +252,11 @@
 			continue
 		}
 		word := value.word()
-		if v.cols = append(v.cols, col); k.form == patternsForm {
+		if v.cols = append(v.cols, col); (k.form == textForm || k.form == textsForm) && word == "" {
+			c.say(e.at, col, k.name+": an empty text", c.wanted(k))
+			return nil
+		}
+		if k.form == patternsForm {
 			if word == "" {
 				c.say(e.at, col, k.name+": an empty text", c.wanted(k))
 				return nil
@@ -293,6 +300,8 @@
 		return "a number of engines such as 2, or a share such as 50%"
 	case patternsForm:
 		return "texts, in which * and ? stand for any characters"
+	case textForm, textsForm:
+		return "a text in quotes"
 	case wordForm:
 		return strings.Join(k.words, " or ")
 	}
--- a/config/lang/schema.go
+++ b/config/lang/schema.go
@@ -15,6 +15,8 @@
 	nameForm                 // one name
 	namesForm                // names in order
 	wordForm                 // one of some words
+	textForm                 // one text
+	textsForm                // texts
 	matchForm
 )
 
@@ -72,10 +74,18 @@
 	"team": {
 		{name: "share", form: figureForm, kind: share, least: 0, most: 100 * shareUnit},
 	},
+	"fleet": {
+		{name: "port", form: figureForm, kind: count, least: 1, most: 65535},
+		{name: "advertise", form: textForm}, {name: "seeds", form: textsForm}, {name: "key-file", form: textForm},
+		{name: "period", form: figureForm, kind: duration, least: 50 * ms, most: 30 * s},
+		{name: "members", form: figureForm, kind: count, least: 2, most: 10_000},
+		{name: "traffic", form: figureForm, kind: size, least: 4_000, most: 100_000_000},
+		{name: "status", form: textForm},
+	},
 }
 
 // kinds in the order in which they are named.
-var kinds = []string{"pool", "label", "route", "policy", "team"}
+var kinds = []string{"pool", "label", "route", "policy", "team", "fleet"}
 
 func keyOf(kind, name string) *key {
 	for n := range schema[kind] {
