--- a/cmd/yarrowbarrow/fleet.go
+++ b/cmd/yarrowbarrow/fleet.go
@@ -24,6 +24,7 @@
 	Play    fleetCommand   `cmd:"" default:"withargs" help:"Play a fleet (also without a word)."`
 	Compare compareCommand `cmd:"" help:"Play two policies or builds in pairs on the same seeds, and tell the difference with its interval."`
 	Days    daysCommand    `cmd:"" help:"Play days on which operators have seen things go wrong, and show one line for each."`
+	Talk    talkCommand    `cmd:"" help:"Play instances that know one another: how soon a loss is known, how old words are, what it costs."`
 	Faults  faultsCommand  `cmd:"" help:"List what may go wrong."`
 }
 
@@ -406,6 +407,51 @@
 	return err
 }
 
+type talkCommand struct {
+	Instances []int         `default:"20,100" help:"How many, one run each."`
+	Period    time.Duration `default:"1s" help:"Between the probes of an instance."`
+	Seed      int64         `default:"1" help:"Of what the links lose."`
+	JSON      bool          `help:"Print as JSON."`
+}
+
+func (c *talkCommand) Run(out *output) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var all []fleet.Talk
+	for _, many := range c.Instances {
+		r, err := fleet.PlayTalk(program, min(max(many, 2), 400), c.Period, c.Seed, func(format string, args ...any) {
+			fmt.Fprintf(out.log, "%d: "+format+"\n", append([]any{many}, args...)...)
+		})
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+	}
+	if c.JSON {
+		return asJSON(out, all)
+	}
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, of func(fleet.Talk) string) {
+		fmt.Fprint(w, name, "\t")
+		for _, r := range all {
+			fmt.Fprint(w, of(r), "\t")
+		}
+		fmt.Fprintln(w)
+	}
+	s := func(d time.Duration) string { return fmt.Sprintf("%.2f s", d.Seconds()) }
+	row("instances", func(r fleet.Talk) string { return fmt.Sprint(r.Instances) })
+	row("all known after", func(r fleet.Talk) string { return s(r.Formed) })
+	row("age of words: half, 99 of 100", func(r fleet.Talk) string { return s(r.AgeHalf) + ", " + s(r.AgeMost) })
+	row("datagrams, bytes a second each", func(r fleet.Talk) string { return fmt.Sprintf("%.1f, %.0f", r.Datagrams, r.Bytes) })
+	row("processor, % of a core; memory, MB", func(r fleet.Talk) string { return fmt.Sprintf("%.2f, %.1f", 100*r.CPU, r.Memory) })
+	row("loss known: first, half, all", func(r fleet.Talk) string { return s(r.LossFirst) + ", " + s(r.LossHalf) + ", " + s(r.LossLast) })
+	row("wrongly gone: calm, 30% loss", func(r fleet.Talk) string { return fmt.Sprintf("%d, %d", r.WrongCalm, r.WrongLossy) })
+	row("healed after a split", func(r fleet.Talk) string { return s(r.Healed) })
+	return w.Flush()
+}
+
 type faultsCommand struct{}
 
 func (faultsCommand) Run(out *output) error {
--- a/lab/fleet/members.go
+++ b/lab/fleet/members.go
@@ -193,3 +193,109 @@
 	}
 	_ = os.RemoveAll(t.folder)
 }
+
+// Talk is what a run of instances that talk shows.
+type Talk struct {
+	Instances  int           `json:"instances"`
+	Period     time.Duration `json:"period_ns"`
+	Formed     time.Duration `json:"formed_ns"`    // from the last start until all hold all for alive
+	AgeHalf    time.Duration `json:"age_half_ns"`  // of words, over all pairs, in calm
+	AgeMost    time.Duration `json:"age_p99_ns"`   // 99 of 100
+	Datagrams  float64       `json:"datagrams_ps"` // a second and instance
+	Bytes      float64       `json:"bytes_ps"`
+	CPU        float64       `json:"cpu_share"` // of one core
+	Memory     float64       `json:"memory_mb"`
+	LossFirst  time.Duration `json:"loss_first_ns"` // from a kill until one knows, and until half and all do
+	LossHalf   time.Duration `json:"loss_half_ns"`
+	LossLast   time.Duration `json:"loss_last_ns"`
+	WrongCalm  int           `json:"wrong_calm"` // pairs found gone that are there, over all looks
+	WrongLossy int           `json:"wrong_lossy"`
+	Healed     time.Duration `json:"healed_ns"` // after a split in halves
+}
+
+// PlayTalk starts so many instances, looks at them in calm, kills one, loses three datagrams in ten, and splits them.
+func PlayTalk(program string, many int, period time.Duration, seed int64, say func(string, ...any)) (r Talk, err error) {
+	t, err := StartTalkers(program, many, period, seed)
+	if err != nil {
+		return r, err
+	}
+	defer t.Close()
+	all := make([]int, many)
+	for n := range all {
+		all[n] = n
+	}
+	patience := time.Duration(60+many) * period
+	r.Instances, r.Period = many, period
+	if r.Formed, err = t.Until(patience, all, all, "alive"); err != nil {
+		return r, err
+	}
+	say("all hold all for alive after %v", r.Formed)
+	calm := 20 * period
+	time.Sleep(calm) // words of the start are older than those of calm
+	before := t.used()
+	datagrams, bytes := t.Mesh.Passed()
+	from := time.Now()
+	time.Sleep(calm)
+	length := time.Since(from).Seconds() * float64(many)
+	d, b := t.Mesh.Passed()
+	r.Datagrams, r.Bytes = float64(d-datagrams)/length, float64(b-bytes)/length
+	after := t.used()
+	r.CPU, r.Memory = (after.cpu-before.cpu).Seconds()/length, after.memory/float64(many)
+	var ages []time.Duration
+	for _, s := range t.Views(all) {
+		for _, m := range s.Members {
+			ages = append(ages, m.Age)
+			if m.Status == "gone" {
+				r.WrongCalm++
+			}
+		}
+	}
+	slices.Sort(ages)
+	if len(ages) > 0 {
+		r.AgeHalf, r.AgeMost = ages[len(ages)/2], ages[len(ages)*99/100]
+	}
+	struck := many / 2
+	others := slices.Concat(all[:struck], all[struck+1:])
+	say("one of them is killed")
+	t.Processes[struck].Kill()
+	from = time.Now()
+	for known := 0; known < len(others) && time.Since(from) < patience; time.Sleep(period / 10) {
+		known = t.Counts(others, []int{struck})["gone"]
+		now := time.Since(from)
+		if known > 0 && r.LossFirst == 0 {
+			r.LossFirst = now
+		}
+		if 2*known >= len(others) && r.LossHalf == 0 {
+			r.LossHalf = now
+		}
+		r.LossLast = now
+	}
+	say("three datagrams in ten are lost")
+	t.Mesh.Between(func(_, _ string) relay.Link { return relay.Link{Loss: 0.3} })
+	for until := time.Now().Add(2 * calm); time.Now().Before(until); time.Sleep(period) {
+		r.WrongLossy += t.Counts(others, others)["gone"]
+	}
+	say("they are split in halves")
+	t.Mesh.Between(func(from, to string) relay.Link {
+		return relay.Link{Silent: (from < TalkerName(struck)) != (to < TalkerName(struck))}
+	})
+	time.Sleep(calm)
+	t.Mesh.Whole()
+	r.Healed, err = t.Until(patience, others, others, "alive")
+	return r, err
+}
+
+// usedBy is what all instances together have used.
+type usedBy struct {
+	cpu    time.Duration
+	memory float64
+}
+
+func (t *Talkers) used() (u usedBy) {
+	for _, p := range t.Processes {
+		if cpu, memory, err := usage(p.PID()); err == nil {
+			u.cpu, u.memory = u.cpu+cpu, u.memory+memory
+		}
+	}
+	return u
+}
