Membership: links that don't carry are named, and favours are looked at in order

Need: reach, who hears whom, as members say; a room that is cut off is to be told from engines that died. Change: an instance whose probes a living member twice did not answer directly says so with its messages, at most 16; 'members' lists such links. Measured on the virtual clock: one dead link of twelve instances is named by all, no other is, and none a minute after it carries again.

--- a/cmd/yarrowbarrow/members.go
+++ b/cmd/yarrowbarrow/members.go
@@ -51,6 +51,7 @@
 	Contact string        `json:"contact"`
 	For     time.Duration `json:"for_ns"`
 	Members []seenMember  `json:"members"`
+	Missed  [][2]string   `json:"links_that_do_not_carry"` // who does not hear whom directly
 	Counts  gossip.Counts `json:"counts"`
 }
 
@@ -68,7 +69,10 @@
 func seenNow(g *gossip.Gossip) seen {
 	v := g.View()
 	s := seen{Name: string(v.Own.Name), Life: int64(v.Own.Life), Turn: v.Own.Turn, Contact: v.Contact.String(), For: v.Since,
-		Members: []seenMember{}, Counts: v.Counts}
+		Members: []seenMember{}, Missed: [][2]string{}, Counts: v.Counts}
+	for _, link := range v.Missed {
+		s.Missed = append(s.Missed, [2]string{string(link.By), string(link.Whom)})
+	}
 	for _, m := range v.Members {
 		s.Members = append(s.Members, seenMember{string(m.Name), string(m.Address), int64(m.Life), m.Status.String(), m.Age, m.Hears,
 			m.Direct, string(m.By)})
@@ -106,5 +110,11 @@
 	for _, m := range s.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Status, ago(m.Age), ago(m.Hears), ago(m.Direct), m.Address, m.By)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, link := range s.Missed {
+		fmt.Fprintf(out, "%s does not hear %s directly\n", link[0], link[1])
+	}
+	return nil
 }
--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -24,6 +24,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -104,7 +105,8 @@
 	To      Name   // whom the sender takes the receiver for, or none
 	About   Record // whom an Ask is about, and its answer
 	News    []Record
-	Ages    []Age // in answers only
+	Ages    []Age    // in answers only
+	Misses  []uint32 // marks of members that are alive and don't answer the sender directly
 	Parcels []Parcel
 }
 
@@ -175,6 +177,8 @@
 	deadline time.Duration // of a suspicion
 	accusers []Name
 	told     int // how often its record has gone out
+	missed   int // probes in a row that it did not answer directly
+	misses   []uint32
 }
 
 // never is a time before all others.
@@ -341,8 +345,8 @@
 			m.failed(now)
 		}
 	}
-	for seq, f := range m.favors {
-		if now >= f.until {
+	for _, seq := range slices.Sorted(maps.Keys(m.favors)) { // in order, so that a seed replays
+		if f := m.favors[seq]; now >= f.until {
 			delete(m.favors, seq)
 			m.send(now, f.asker, Message{Kind: Nack, Seq: f.seq, To: f.to, About: f.about})
 		}
@@ -420,6 +424,7 @@
 		p.done = true
 		return
 	}
+	target.missed++
 	for _, helper := range m.some(now, m.set.Helpers, p.who) {
 		p.asked++
 		m.asked[p.seq] = p.sent
@@ -574,6 +579,7 @@
 		return
 	}
 	msg.From = m.own
+	msg.Misses = m.misses()
 	msg.News = append(msg.News, m.news(m.set.News-len(msg.News))...)
 	if msg.Kind == Ack || msg.Kind == Nack {
 		msg.Ages = m.tellAges(now, m.set.Ages)
@@ -592,6 +598,19 @@
 	m.host.Send(to, msg)
 }
 
+// missAfter is how many probes without a direct answer make a link that is told of; mostMisses are told. One lost datagram
+// is usual, and who hears hardly anybody says so by its contact.
+const missAfter, mostMisses = 2, 16
+
+func (m *Member) misses() (marks []uint32) {
+	for _, name := range m.names {
+		if p := m.peers[name]; p.Status == Alive && p.missed >= missAfter && len(marks) < mostMisses {
+			marks = append(marks, p.mark)
+		}
+	}
+	return marks
+}
+
 // news are the records that have gone out least, up to a number of times that grows with the fleet, as rumours need to
 // reach all.
 func (m *Member) news(most int) (news []Record) {
@@ -685,9 +704,10 @@
 func (m *Member) learn(now, base time.Duration, from *peer, msg Message) {
 	if base != never {
 		m.proven(now, from, base)
-		from.hears = max(from.hears, base)
+		from.hears, from.missed = max(from.hears, base), 0
 		m.learnAges(now, base, msg.Ages)
 	}
+	from.misses = msg.Misses
 	for _, r := range msg.News {
 		m.toldOf(now, from.Name, r)
 	}
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -141,6 +141,28 @@
 	if w.statuses(3)[Alive] != 11 || w.statuses(9)[Alive] != 11 {
 		t.Error("a single link: ", w.statuses(3), w.statuses(9))
 	}
+	// And all that heard of it lately can name the link, and no other.
+	for _, i := range w.all {
+		for _, link := range i.member.Missed() {
+			if link != (Missing{nameOf(3), nameOf(9)}) && link != (Missing{nameOf(9), nameOf(3)}) {
+				t.Errorf("%d says that %v does not carry", i.n, link)
+			}
+		}
+		want := 2
+		if i.n == 3 || i.n == 9 { // who is not told by the other
+			want = 1
+		}
+		if n := len(i.member.Missed()); n != want {
+			t.Errorf("%d knows %d ways that don't carry", i.n, n)
+		}
+	}
+	w.whole()
+	w.run(w.now + 60*second)
+	for _, i := range w.all {
+		if links := i.member.Missed(); len(links) > 0 {
+			t.Errorf("%d says that %v does not carry", i.n, links)
+		}
+	}
 }
 
 // TestBad: three in ten messages lost, doubled, late by up to 2 s and out of order, for two minutes: nobody is gone.
--- a/decide/member/view.go
+++ b/decide/member/view.go
@@ -90,3 +90,30 @@
 	}
 	return -1
 }
+
+// Missing is a link that does not carry: By does not hear Whom directly, though both are alive.
+type Missing struct{ By, Whom Name }
+
+// Missed are the links that this instance knows not to carry, by its own probes and by what members say of theirs, by name. A
+// link that carries one way is told of by both, as neither gets its probes answered.
+func (m *Member) Missed() (all []Missing) {
+	byMark := map[uint32]Name{mark(m.own): m.own.Name}
+	for _, p := range m.peers {
+		byMark[p.mark] = p.Name
+	}
+	add := func(by Name, marks []uint32) {
+		for _, x := range marks {
+			whom := byMark[x]
+			if p := m.peers[whom]; whom == m.own.Name || p != nil && p.Status == Alive {
+				all = append(all, Missing{by, whom})
+			}
+		}
+	}
+	add(m.own.Name, m.misses())
+	for _, name := range m.names {
+		if p := m.peers[name]; p.Status == Alive {
+			add(name, p.misses)
+		}
+	}
+	return all
+}
--- a/member/gossip/codec.go
+++ b/member/gossip/codec.go
@@ -71,6 +71,7 @@
 	News    []record `cbor:"6,keyasint,omitempty"`
 	Ages    []age    `cbor:"7,keyasint,omitempty"`
 	Parcels []parcel `cbor:"8,keyasint,omitempty"`
+	Misses  []uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // state is what a stream carries, both ways.
@@ -136,12 +137,18 @@
 			return err
 		}
 	}
+	if len(m.Misses) > mostMisses {
+		return fmt.Errorf("%d links that don't carry", len(m.Misses))
+	}
 	if m.About != nil {
 		return m.About.valid()
 	}
 	return nil
 }
 
+// mostMisses is more than any version tells of.
+const mostMisses = 64
+
 // mostName is of a member's name and address.
 const mostName = 64
 
@@ -156,7 +163,8 @@
 }
 
 func encode(m member.Message) ([]byte, error) {
-	out := message{Kind: int8(m.Kind), Seq: uint64(m.Seq), From: toRecord(m.From), To: string(m.To), News: toRecords(m.News), Ages: toAges(m.Ages)}
+	out := message{Kind: int8(m.Kind), Seq: uint64(m.Seq), From: toRecord(m.From), To: string(m.To), News: toRecords(m.News), Ages: toAges(m.Ages),
+		Misses: m.Misses}
 	if m.About.Name != "" {
 		about := toRecord(m.About)
 		out.About = &about
@@ -176,7 +184,7 @@
 		return m, err
 	}
 	m = member.Message{Kind: member.Kind(in.Kind), Seq: member.Seq(in.Seq), From: in.From.record(), To: member.Name(in.To),
-		News: records(in.News), Ages: ages(in.Ages)}
+		News: records(in.News), Ages: ages(in.Ages), Misses: in.Misses}
 	if in.About != nil {
 		m.About = in.About.record()
 	}
--- a/member/gossip/gossip.go
+++ b/member/gossip/gossip.go
@@ -445,6 +445,7 @@
 	Contact member.Contact
 	Since   time.Duration // how long it has been so
 	Members []member.One
+	Missed  []member.Missing
 	Counts  Counts
 }
 
@@ -452,7 +453,8 @@
 func (g *Gossip) View() (v View) {
 	g.do(func(now time.Duration) {
 		contact, since := g.member.Contact(now)
-		v = View{Own: g.member.Own(), Contact: contact, Since: now - since, Members: g.member.Members(now), Counts: g.counts}
+		v = View{Own: g.member.Own(), Contact: contact, Since: now - since, Members: g.member.Members(now),
+			Missed: g.member.Missed(), Counts: g.counts}
 	})
 	return v
 }
--- a/member/gossip/gossip_test.go
+++ b/member/gossip/gossip_test.go
@@ -20,7 +20,7 @@
 	To: "b", About: member.Record{Name: "c", Address: "10.0.0.3:1", Life: 1, Status: member.Suspect, By: "a"},
 	News:    []member.Record{{Name: "d", Address: "x", Life: 2, Status: member.Gone, By: "e"}, {Name: "f", Life: 3, Status: member.Alive}},
 	Ages:    []member.Age{{Of: 1 << 31, Old: 0}, {Of: 2, Old: 1500 * ms}},
-	Parcels: []member.Parcel{{Cargo: 7, Data: []byte("x")}}}
+	Parcels: []member.Parcel{{Cargo: 7, Data: []byte("x")}}, Misses: []uint32{1, 1 << 31}}
 
 // TestMessage: what is written is what is read; ages are rounded up, never down.
 func TestMessage(t *testing.T) {
