Counts over the fleet travel with membership: decide/tally, open jobs in 'members'

Need: payloads of other modules are to travel with membership; counts that only inform are the simplest of them, and the first step of what instances will share. Change: decide/tally, pure: each says its own figures and passes on the newest of others, by life and version, with ages that are bounds; a sum tells what it is at least, at most, how old its words are and how many instances it lacks. Members' parcels carry it; those who are gone are no part. 'members' shows the jobs open over the fleet.

--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -40,7 +40,7 @@
 	if s.change != nil {
 		s.change(c)
 	}
-	fleet, leave, err := talk(cfg, log.With("name", cfg.Name))
+	fleet, leave, err := talk(cfg, c.OpenJobs, log.With("name", cfg.Name))
 	if err != nil {
 		log.Error("fleet", "why", err)
 		return errFindings
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -178,3 +178,9 @@
 		}
 	})
 }
+
+// OpenJobs is the number of jobs that were taken and are not over.
+func (c *Controller) OpenJobs() (n int) {
+	c.do(func() { n = len(c.jobs) })
+	return n
+}
--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -122,6 +122,8 @@
 	Pack(now time.Duration, to Name, room int) []byte
 	// Unpack is told what came, and an age that it is not older than, below 0 where none is known.
 	Unpack(now time.Duration, from Name, life Life, age time.Duration, data []byte)
+	// Gone tells of a member that is held for gone, or has left.
+	Gone(name Name)
 }
 
 // Host carries out what is decided.
@@ -525,6 +527,11 @@
 	if s == Gone {
 		p.By = m.own.Name
 	}
+	if s >= Gone {
+		for _, cargo := range m.set.Cargo {
+			cargo.Gone(p.Name)
+		}
+	}
 	m.host.Changed(now, m.one(now, p))
 }
 
--- a/lab/fleet/members.go
+++ b/lab/fleet/members.go
@@ -34,7 +34,12 @@
 	Life    int64
 	Contact string
 	Members []SeenMember
-	Counts  struct{ Sent, Came, SentBytes, CameBytes, Bounded, Refused, Streams int64 }
+	Open    struct {
+		Least   int `json:"at_least"`
+		Fresh   int `json:"instances"`
+		Unknown int
+	} `json:"open_jobs"`
+	Counts struct{ Sent, Came, SentBytes, CameBytes, Bounded, Refused, Streams int64 }
 }
 
 // Of finds a member, or an empty one.
--- a/lab/fleet/members_test.go
+++ b/lab/fleet/members_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"syscall"
 	"testing"
 	"time"
 
 	"yarrowbarrow/lab/fleet/relay"
+	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/engine"
+	"yarrowbarrow/lab/standin/feed"
 )
 
 // quick is a period between probes that has a test over in seconds; waits follow it.
@@ -82,6 +86,53 @@
 	all.await(t, []int{0, 1, 3, 4}, []int{2}, "left")
 }
 
+// TestMembersCount: jobs that are open at two of four instances, at an engine that answers none, are counted by all, and
+// those of one that is killed no longer.
+func TestMembersCount(t *testing.T) {
+	t.Parallel()
+	all := talkers(t, 4)
+	address, err := FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := engine.Start(address, engine.Options{Cores: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Die()
+	e.Hang(true)
+	all.feed.Tell(true, feed.Host{Host: "e", Dial: address, Site: "room-0", Class: "std", Health: "active"})
+	time.Sleep(2 * time.Second) // until all have called for the list again
+	for n, jobs := range []int{2, 2} {
+		c, err := load.Dial(all.Processes[n].Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for job := range jobs {
+			j := load.Job{Type: "report", ID: fmt.Sprintf("%08x%08x", n, job), Wait: 10 * time.Second, Statement: "select 1"}
+			if err := c.Ask(j, func(load.Answer, error) {}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	counts := func(of []int, want, instances int) {
+		t.Helper()
+		for from := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+			views := all.Views(of)
+			if !slices.ContainsFunc(views, func(s SeenFleet) bool { return s.Open.Least != want || s.Open.Fresh != instances || s.Open.Unknown > 0 }) {
+				return
+			}
+			if time.Since(from) > patience {
+				t.Fatalf("wanted %d of %d: %+v", want, instances, views)
+			}
+		}
+	}
+	counts(numbers(0, 4), 4, 4)
+	all.Processes[1].Kill()
+	counts([]int{0, 2, 3}, 2, 3)
+}
+
 // TestMembersSplit: two sides that don't hear each other hold the other for gone and nobody of their own, the lone one says
 // that it is deaf and holds nobody for gone; all heal by themselves.
 func TestMembersSplit(t *testing.T) {
--- a/member/gossip/gossip.go
+++ b/member/gossip/gossip.go
@@ -446,6 +446,7 @@
 	Since   time.Duration // how long it has been so
 	Members []member.One
 	Missed  []member.Missing
+	Fresh   time.Duration // up to which age words count as fresh
 	Counts  Counts
 }
 
@@ -454,11 +455,14 @@
 	g.do(func(now time.Duration) {
 		contact, since := g.member.Contact(now)
 		v = View{Own: g.member.Own(), Contact: contact, Since: now - since, Members: g.member.Members(now),
-			Missed: g.member.Missed(), Counts: g.counts}
+			Missed: g.member.Missed(), Fresh: g.member.FreshWithin(), Counts: g.counts}
 	})
 	return v
 }
 
+// With runs f under the lock that guards what travels along, with the clock that members are told.
+func (g *Gossip) With(f func(now time.Duration)) { g.do(f) }
+
 // Leave says good-bye and ends it.
 func (g *Gossip) Leave() {
 	g.do(func(now time.Duration) { g.member.Leave(now) })
