--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -340,3 +340,18 @@
 		t.Logf("suspected %.4f of the time", share)
 	}
 }
+
+// TestBadSmall: fifty fleets of eight lose three messages in ten for 40 s, and nobody is declared gone: fewer than twenty
+// leave each instance fewer others to hear of a member from.
+func TestBadSmall(t *testing.T) {
+	for seed := range int64(50) {
+		w := formed(t, 8, seed)
+		w.loss, w.double = 0.3, 0.1
+		w.run(w.now + 40*second)
+		for _, i := range w.all {
+			if i.wronged > 0 {
+				t.Errorf("seed %d: %d declared %d gone", seed, i.n, i.wronged)
+			}
+		}
+	}
+}
