--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -228,7 +228,6 @@
 	woken  time.Duration // the last Tick
 	due    time.Duration // the next
 	health int           // of this instance, 0 is well
-	began  time.Duration
 
 	contact Contact
 	turned  time.Duration
@@ -244,7 +243,7 @@
 
 // Begin starts it.
 func (m *Member) Begin(now time.Duration) {
-	m.began, m.woken, m.turned = now, now, now
+	m.woken, m.turned = now, now
 	for _, s := range m.set.Seeds {
 		m.greet(now, s)
 	}
--- a/lab/fleet/network.go
+++ b/lab/fleet/network.go
@@ -195,18 +195,15 @@
 		struck[n] = true
 	}
 	between := func(room int, h *host) bool { return struck[room] != struck[h.place%f.Rooms] }
+	outside := func(room int, h *host) bool { return struck[room] && !struck[h.place%f.Rooms] }
 	place := func(_ int, h *host) bool { return struck[h.place] }
 	switch fault.What {
 	case "cut":
 		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{true, true}}, between)
 	case "deaf": // what engines answer does not come back to the struck rooms
-		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{relay.Back: true}}, func(room int, h *host) bool {
-			return struck[room] && !struck[h.place%f.Rooms]
-		})
+		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{relay.Back: true}}, outside)
 	case "mute":
-		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{relay.To: true}}, func(room int, h *host) bool {
-			return struck[room] && !struck[h.place%f.Rooms]
-		})
+		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{relay.To: true}}, outside)
 	case "silent":
 		f.suffer(over, fault.For, relay.Trouble{Silent: [2]bool{true, true}}, place)
 	case "delay":
--- a/member/gossip/codec.go
+++ b/member/gossip/codec.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -125,7 +126,7 @@
 
 func ages(all []age) (out []member.Age) {
 	for _, a := range all {
-		out = append(out, member.Age{Of: a.Of, Old: ms * durationOf(a.Old)})
+		out = append(out, member.Age{Of: a.Of, Old: ms * time.Duration(a.Old)})
 	}
 	return out
 }
--- a/member/gossip/gossip.go
+++ b/member/gossip/gossip.go
@@ -26,8 +26,6 @@
 
 const ms = time.Millisecond
 
-func durationOf(n uint32) time.Duration { return time.Duration(n) }
-
 // Config of an instance.
 type Config struct {
 	Name    string
