Discovery: times follow from the drain's grace, and a silent watch is asked beside

Need: longestWait and callSlack were constants, 1.83 s together, fitted to a grace of 2 s; the settings' grace (safety.drain_grace) was not read, and is 250 ms at other customers: a drain told just after a watch fell silent was heard up to 1.6 s after the grace. A dial that never came up held all others off for a second. A feed whose answers took longer than the slack was given up each time, and never heard.

Change: decide/watch works the times out from the grace (call, slack, second dial, pause; a quarter of the grace is left for the second look). A call whose answer is late is asked again on another connection while up to three late ones are still listened to; up to four dials overlap. New counter feed_silent. At 2 s calls are held 1.2 s at the most, not 1.33.

Tests, each failing with its part taken out: TestSilentWatch, TestSilentDial, TestMoveWhileDialing; TestHeardInTime for any grace to a minute. TestFeedThroughCrowd shows that idle clients on all places, three times as many as descriptors, don't keep the feed from being reached: that could not happen before either, as places are half the descriptors.

--- a/config/config.go
+++ b/config/config.go
@@ -104,6 +104,7 @@
 		check(c.Sockets >= 64, "limits.sockets", c.Sockets, "64 or more"),
 		check(s.ConnectTimeout > 0, "settings.permissions.connect_timeout", s.ConnectTimeout, "above 0"),
 		check(s.IdleClose >= 0, "settings.permissions.idle_close", s.IdleClose, "0 (never) or above"),
+		check(s.DrainGrace >= 0, "settings.safety.drain_grace", s.DrainGrace, "0 (not told) or above"),
 		check(s.Streams > 0, "settings.permissions.streams_per_conn", s.Streams, "1 or more"),
 		check(s.OpenCap >= 0, "settings.permissions.open_cap", s.OpenCap, "0 (no limit) or above"))
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -16,6 +16,7 @@
 	Logic          logic.Settings
 	Columns        []string // of a load report, in order
 	ConnectTimeout time.Duration
+	DrainGrace     time.Duration // nothing goes to an engine that drains later than this after it was told; 0: not told
 	IdleClose      time.Duration
 	Streams        int // jobs on one connection to an engine
 	OpenCap        int // jobs open at once, 0 for no limit
@@ -75,8 +76,9 @@
 		Safety struct {
 			BudgetWindow    time.Duration `json:"budget_window"`
 			Cold            time.Duration
-			ExtraFloor      float64 `json:"extra_floor"`
-			ExtraPerRequest float64 `json:"extra_per_request"`
+			DrainGrace      time.Duration `json:"drain_grace"`
+			ExtraFloor      float64       `json:"extra_floor"`
+			ExtraPerRequest float64       `json:"extra_per_request"`
 			Fall            time.Duration
 			KeyQuiet        time.Duration `json:"key_quiet"`
 			StartCapacity   float64       `json:"start_capacity"`
@@ -125,7 +127,7 @@
 	}
 	return Settings{Logic: s, Columns: c.LoadReport.Columns, ConnectTimeout: c.Permissions.Connect,
 		IdleClose: c.Permissions.IdleClose, Streams: c.Permissions.Streams, OpenCap: c.Permissions.OpenCap,
-		Probes: c.Permissions.Probes, Notes: c.FamilyInfo.NotePeriod > 0}, nil
+		Probes: c.Permissions.Probes, Notes: c.FamilyInfo.NotePeriod > 0, DrainGrace: c.Safety.DrainGrace}, nil
 }
 
 // at is the n-th value of a list that may be shorter, or absent.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,6 +25,7 @@
 	"yarrowbarrow/decide/door"
 	"yarrowbarrow/decide/route"
 	"yarrowbarrow/decide/spread"
+	"yarrowbarrow/decide/watch"
 	"yarrowbarrow/logic"
 )
 
@@ -97,7 +98,7 @@
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*dispatch{}}
 	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return config.Module(h, s, seed) }
-	c.feed = &feed{c: c, address: cfg.Feed}
+	c.feed = &feed{c: c, address: cfg.Feed, pace: watch.For(cfg.Settings.DrainGrace), dials: map[int64]context.CancelFunc{}}
 	c.connect = dialTCP
 	c.door = door.New(doorHost{c}, mostClients(cfg))
 	return c
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -55,6 +55,7 @@
 	feedEvents
 	feedGaps
 	feedFailures
+	feedSilent
 	reloads
 	reloadsFailed
 	peerUnsaid
@@ -70,7 +71,7 @@
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "unfit", "pages_read", "faulty_answers", "stray_answers", "notes_unread",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
-	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "reloads", "reloads_failed", "peer_unsaid", "panics",
+	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "feed_silent", "reloads", "reloads_failed", "peer_unsaid", "panics",
 	"refused_by_route", "moved_by_route"}
 
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
--- /dev/null
+++ b/controller/crossing_feed_test.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"yarrowbarrow/config"
+)
+
+// rawFeed is a control feed whose test answers by hand.
+func rawFeed(t *testing.T) (address string, calls chan net.Conn) {
+	calls = make(chan net.Conn, 100)
+	ln := listen(t, "127.0.0.1:0", func(conn net.Conn) {
+		for buf := make([]byte, 4096); ; {
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+			calls <- conn
+		}
+	})
+	return ln.Addr().String(), calls
+}
+
+func event(t *testing.T, conn net.Conn, body string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSilentWatch: a watch that says nothing is asked again on another connection, and what it says late is heard all the
+// same, as a feed may be slow and not dead. Events that both tell are taken once.
+func TestSilentWatch(t *testing.T) {
+	address, calls := rawFeed(t)
+	b := startWith(t, "", func(cfg *config.Config) { cfg.Feed = address })
+	next := func() net.Conn {
+		t.Helper()
+		select {
+		case conn := <-calls:
+			return conn
+		case <-time.After(patience):
+			t.Fatal("no call")
+			return nil
+		}
+	}
+	first := next()
+	second := next()
+	if first == second {
+		t.Fatal("asked again on the same connection")
+	}
+	b.list.tell(false, [3]string{"late", "127.0.0.1:1", "active"})
+	event(t, first, b.list.text(1))
+	b.knows("late")
+	b.list.tell(false, [3]string{"new", "127.0.0.1:2", "active"})
+	event(t, second, b.list.text(1))
+	b.knows("new")
+	third := next()
+	if third != second {
+		t.Error("the answered connection is not used on")
+	}
+	b.c.do(func() {
+		if b.c.counts[feedEvents] != 3 || b.c.counts[feedSilent] != 1 || b.c.counts[feedFailures] != 0 || len(b.c.feed.late) != 0 {
+			t.Error(b.c.counts[feedEvents], b.c.counts[feedSilent], b.c.counts[feedFailures], b.c.feed.late)
+		}
+	})
+}
+
+// TestSilentDial: a connection to the feed that never comes up has another one tried beside it.
+func TestSilentDial(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	b.client()
+	began := make(chan int, 100)
+	n := 0
+	b.c.do(func() {
+		b.c.connect = func(ctx context.Context, address netip.AddrPort) (netpoll.Connection, error) {
+			if n++; n > 1 { // dials begin one after the other
+				began <- n
+				return dialTCP(ctx, address)
+			}
+			<-ctx.Done() // as a lost word of the handshake does
+			began <- 1
+			return nil, ctx.Err()
+		}
+		b.c.feed.silent()
+	})
+	if first := <-began; first != 2 {
+		t.Error("dial", first, "came first: the next one waited for the end of the first")
+	}
+	b.list.tell(false, [3]string{"e9", "127.0.0.1:1", "active"})
+	b.knows("e9")
+}
+
+// TestFeedThroughCrowd: idle clients hold all places while the feed is away, and it is reached as it comes back.
+func TestFeedThroughCrowd(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	b.client()
+	address := b.list.ln.Addr().String()
+	b.c.do(func() { b.c.feed.move("127.0.0.1:1") })
+	for range 3 * b.c.cfg.Sockets {
+		c, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	b.until(func() bool { return b.c.door.Open() == b.c.door.Most() })
+	b.c.do(func() {
+		b.c.feed.move(address)
+		if open := len(b.c.clients); open > mostClients(b.c.cfg) {
+			t.Error(open, "descriptors are clients'")
+		}
+	})
+	b.list.tell(false, [3]string{"e9", "127.0.0.1:1", "active"})
+	b.knows("e9")
+}
+
+// TestMoveWhileDialing: a connection to the feed's old address that comes up when the new one is followed leads to nothing.
+func TestMoveWhileDialing(t *testing.T) {
+	b := start(t, "")
+	b.client()
+	other := newList(t)
+	other.events = append(other.events, b.list.events...)
+	g := b.holdDials()
+	b.c.do(func() { b.c.feed.silent() })
+	g.waits(t)
+	b.c.do(func() { b.c.feed.move(other.ln.Addr().String()) })
+	g.waits(t)
+	b.list.tell(false, [3]string{"old", "127.0.0.1:1", "active"})
+	for range cap(g.pass) / 2 {
+		g.pass <- struct{}{}
+	}
+	other.tell(false, [3]string{"new", "127.0.0.1:2", "active"})
+	b.knows("new")
+	b.c.do(func() {
+		if b.c.engines["old"] != nil {
+			t.Error("the old address was heard")
+		}
+	})
+}
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -6,35 +6,41 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
+	"yarrowbarrow/decide/watch"
 	"yarrowbarrow/internal/http1"
 	"yarrowbarrow/internal/listing"
 	"yarrowbarrow/logic"
 )
 
-// feed follows the control feed: one connection, one call at a time, the next as soon as one is answered. Jobs
-// go on with the list that is held while it is away.
+// feed follows the control feed: one connection, one call at a time, the next as soon as one is answered. A call whose
+// answer is late is asked again on another connection, while the first is still listened to: a connection that is dead says
+// nothing, and a feed that is slow would never be heard if its answers were given up. Jobs go on with the list that is held
+// while it is away.
 type feed struct {
 	c         *Controller
 	address   string
+	pace      watch.Pace
 	link      *link
-	last      int64 // number of the newest event held
-	call      int64 // of the call that is out, to tell old time-outs apart
-	waits     bool  // a call is out
+	late      []*link // whose answers are, the oldest first
+	last      int64   // number of the newest event held
+	call      int64   // of the call that is out, to tell old time-outs apart
+	waits     bool    // a call is out
 	following bool
-	stopDial  context.CancelFunc // of the dial under way, if any
-	dial      int64              // its number, to tell given up dials apart
-	failures  int                // in a row
+	dials     map[int64]context.CancelFunc // under way, by number
+	dialed    int64                        // the newest number
+	round     int64                        // of dials, to tell old alarms apart
+	failures  int                          // in a row
 }
 
-// longestWait is for the feed to hold a call, at most 5 s by its protocol; a call without an answer by slack later
-// has failed. Both together are below the two seconds in which a drain is usually to be acted on, as a connection
-// that is dead says nothing. Calls wait for a second in the mean (decide/spread).
-const longestWait, callSlack = 4 * time.Second / 3, 500 * time.Millisecond
+// mostLate connections are listened to beside the newest one, and mostDials are under way at once: a few, as each takes a
+// descriptor of those kept free for the feed and its like.
+const mostLate, mostDials = 3, 4
 
 // remembered tells the module what the configuration knows.
 func (f *feed) remembered(known []byte) error {
@@ -110,36 +116,89 @@
 	}
 	f.waits = true
 	f.call++
-	call, wait := f.call, c.apart.Poll(longestWait)
+	call, wait := f.call, c.apart.Poll(f.pace.Wait)
 	target := "/v1/events?SUB=" + strconv.FormatInt(f.last, 10) + "&wait=" +
 		strconv.FormatInt(int64(wait/time.Millisecond), 10)
 	f.link.add(http1.AppendGet(nil, f.address, target))
 	c.counts[feedCalls]++
-	c.at(c.now+wait+callSlack, func() {
+	c.at(c.now+wait+f.pace.Slack, func() {
 		if f.waits && f.call == call {
-			f.failed(errors.New("no answer in time"))
+			f.silent()
 		}
 	})
 }
 
-// connect dials unless a dial is under way. One that was given up meanwhile leads to nothing.
+// silent guards against a watch that says nothing more on a connection that stays up: another one is asked beside it.
+func (f *feed) silent() {
+	c := f.c
+	if c.cfg.Settings.Logic.ListOnRequest { // the module decides when to ask again
+		f.failed(errors.New("no answer in time"))
+		return
+	}
+	c.counts[feedSilent]++
+	if f.late = append(f.late, f.link); len(f.late) > mostLate {
+		c.closeSoon(f.late[0].conn)
+		f.late = f.late[1:]
+	}
+	f.link, f.waits = nil, false
+	f.connect()
+}
+
+// forgetLate closes the connections whose answers nobody needs any more.
+func (f *feed) forgetLate() {
+	for _, l := range f.late {
+		f.c.closeSoon(l.conn)
+	}
+	f.late = nil
+}
+
+// connect dials unless a dial is under way.
 func (f *feed) connect() {
+	if len(f.dials) == 0 {
+		f.round++
+		f.dial()
+		f.dialAgain(f.round)
+	}
+}
+
+// dialAgain guards against a connection that does not come up where the next one would: one is tried beside it.
+func (f *feed) dialAgain(round int64) {
+	f.c.at(f.c.now+f.pace.Redial, func() {
+		if f.round != round || len(f.dials) == 0 {
+			return
+		}
+		if len(f.dials) < mostDials {
+			f.dial()
+		}
+		f.dialAgain(round)
+	})
+}
+
+// giveUpDials ends those under way. One that comes up all the same leads to nothing.
+func (f *feed) giveUpDials() {
+	for _, stop := range f.dials {
+		stop()
+	}
+	clear(f.dials)
+}
+
+func (f *feed) dial() {
 	c := f.c
 	address, err := netip.ParseAddrPort(f.address)
-	if err != nil || f.stopDial != nil {
+	if err != nil {
 		return
 	}
 	ctx, stop := context.WithTimeout(context.Background(), max(c.cfg.Settings.ConnectTimeout, time.Second))
-	f.dial++
-	f.stopDial = stop
-	number, connect := f.dial, c.connect
+	f.dialed++
+	number, connect := f.dialed, c.connect
+	f.dials[number] = stop
 	go func() {
 		conn, err := connect(ctx, address)
 		stop()
 		if err != nil {
 			c.do(func() {
-				if f.dial == number {
-					f.stopDial = nil
+				wanted := f.dials[number] != nil
+				if delete(f.dials, number); wanted && len(f.dials) == 0 {
 					f.failed(err)
 				}
 			})
@@ -151,11 +210,11 @@
 			return nil
 		})
 		c.do(func() {
-			if f.dial != number {
+			if f.dials[number] == nil {
 				c.closeSoon(conn)
 				return
 			}
-			f.stopDial = nil
+			f.giveUpDials()
 			f.link = l
 			if f.following {
 				f.ask()
@@ -176,11 +235,8 @@
 	}
 	f.address, f.waits, f.failures = address, false, 0
 	f.call++
-	f.dial++
-	if f.stopDial != nil {
-		f.stopDial()
-		f.stopDial = nil
-	}
+	f.giveUpDials()
+	f.forgetLate()
 	if f.link != nil {
 		f.c.closeSoon(f.link.conn)
 		f.link = nil
@@ -192,6 +248,7 @@
 
 func (f *feed) closed(l *link) {
 	l.closed()
+	f.late = slices.DeleteFunc(f.late, func(o *link) bool { return o == l })
 	if f.link != l {
 		return
 	}
@@ -225,7 +282,7 @@
 		c.logic.ListEnds(c.now)
 		return
 	}
-	c.at(c.now+c.apart.Again(f.failures), func() {
+	c.at(c.now+c.apart.Again(f.failures, f.pace.Pause), func() {
 		if f.following && !f.waits && f.link == nil {
 			f.ask()
 		}
@@ -241,6 +298,10 @@
 			return 0, err
 		}
 		calls = append(calls, func() {
+			if slices.Contains(f.late, l) {
+				f.heardLate(l, status, body)
+				return
+			}
 			if f.link != l || !f.waits {
 				return
 			}
@@ -261,21 +322,36 @@
 		c.do(func() {
 			if f.link == l {
 				f.failed(err)
+			} else {
+				c.closeSoon(l.conn)
 			}
 		})
 	}
 	return nil
 }
 
+// heardLate takes what a late answer tells that the newer call has not told yet, which goes on.
+func (f *feed) heardLate(l *link, status int, body []byte) {
+	f.late = slices.DeleteFunc(f.late, func(o *link) bool { return o == l })
+	f.c.closeSoon(l.conn)
+	before := f.last
+	if status == 200 && f.tell(body, whole) == nil {
+		f.last = max(f.last, before)
+	}
+}
+
+func whole(yes bool) logic.ListKind {
+	if yes {
+		return logic.ListWhole
+	}
+	return logic.ListChanges
+}
+
 // heard takes an answer and asks on.
 func (f *feed) heard(body []byte) {
 	c, before := f.c, f.last
-	err := f.tell(body, func(whole bool) logic.ListKind {
-		if whole {
-			return logic.ListWhole
-		}
-		return logic.ListChanges
-	})
+	f.forgetLate()
+	err := f.tell(body, whole)
 	switch {
 	case err != nil:
 		f.failed(err)
--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -39,15 +39,15 @@
 	return time.Duration((pollLeast + (1-pollLeast)*a.rng.Float64()) * float64(longest))
 }
 
-// A first try soon, as one lost connection is mostly an accident; then waits that double, up to one that keeps the calls of
-// a fleet under those of quiet times, one a second each, and still hears a drain within its grace of two seconds.
-const firstPause, longestPause = 50 * time.Millisecond, 400 * time.Millisecond
+// A first try soon, as one lost connection is mostly an accident; then waits that double.
+const firstPause = 50 * time.Millisecond
 
-// Again is the pause before the next try after so many failures in a row, from 1: drawn from half of it to one and a half.
-func (a *Apart) Again(failures int) time.Duration {
-	pause := longestPause
+// Again is the pause before the next try after so many failures in a row, from 1, up to a longest one (decide/watch): drawn
+// from half of it to one and a half.
+func (a *Apart) Again(failures int, longest time.Duration) time.Duration {
+	pause := longest
 	if failures < 4 {
-		pause = min(firstPause<<max(failures-1, 0), longestPause)
+		pause = min(firstPause<<max(failures-1, 0), longest)
 	}
-	return pause/2 + time.Duration(a.rng.Int63n(int64(pause)))
+	return pause/2 + time.Duration(a.rng.Int63n(max(int64(pause), 1)))
 }
--- a/decide/spread/apart_test.go
+++ b/decide/spread/apart_test.go
@@ -71,7 +71,7 @@
 		a, failures := NewApart(300, n, int64(n)), 0
 		for at := time.Duration(0); at < length; calls++ {
 			failures++
-			pause := a.Again(failures)
+			pause := a.Again(failures, 400*time.Millisecond)
 			if pause <= 0 || pause > 600*time.Millisecond {
 				t.Fatal(pause)
 			}
--- /dev/null
+++ b/decide/watch/watch_test.go
@@ -0,0 +1,39 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestHeardInTime: for any grace, a watch that falls silent just as it begins leaves the promised part of it for the second
+// look, and a pause between tries fits there too.
+func TestHeardInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(1, int64(time.Minute)).Draw(t, "grace"))
+		p := For(grace)
+		if left := p.Left(grace); left < time.Duration(0.249*float64(grace)) {
+			t.Errorf("%v left of %v", left, grace)
+		}
+		if p.Wait > longestWait || p.Pause > longestPause || 2*p.Redial > p.Left(grace) || p.Pause > p.Left(grace) {
+			t.Errorf("%+v for %v", p, grace)
+		}
+	})
+}
+
+// TestFigures: what the grace of the deployments makes of it.
+func TestFigures(t *testing.T) {
+	const ms = time.Millisecond
+	for grace, want := range map[time.Duration]Pace{
+		0:           {1200 * ms, 300 * ms, 250 * ms, 400 * ms},
+		2000 * ms:   {1200 * ms, 300 * ms, 250 * ms, 400 * ms},
+		250 * ms:    {150 * ms, 37500 * time.Microsecond, 31250 * time.Microsecond, 50 * ms},
+		10000 * ms:  {longestWait, 1500 * ms, 1250 * ms, 400 * ms},
+		time.Second: {600 * ms, 150 * ms, 125 * ms, 200 * ms},
+	} {
+		if got := For(grace); got != want {
+			t.Errorf("%v: %+v, wanted %+v", grace, got, want)
+		}
+	}
+}
