Connections of clients are shut before they are closed, and deadlines end with the process

Need: bytes that arrive in the instant of a close reset the connection, and answers still on the way may go with it; a newcomer without a place was closed over its job; jobs on hung engines with deadlines behind the kill were cut, cancelled for good, though their type may be tried elsewhere, and new attempts left until then that nobody could wait for.

Change: a connection that is ended shuts its side, and what comes is read and passed over until the client closes, half a second at most, for a few at once (Sockets/64, 4 at least; beyond them closed as before). A newcomer without a place is told that none is wanted and its job refused, as many at once; these descriptors come out of the clients' half. The process shuts all of them 50 ms before its end. After TERM all deadlines end 50 ms before the cut (Module.Leaving), so that the module answers each job by its type. drop remains for clients that read nothing.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -25,13 +25,20 @@
 	jobs   map[uint32]*job // open, by stream
 	last   uint32          // highest stream so far
 	gone   bool
-	faulty atomic.Bool // read no further
+	turned bool        // away: it has no place, and is told so
+	faulty atomic.Bool // what comes is passed over
 }
 
 type clientKey struct{}
 
-// mostClients is half the descriptors: clients keep to a third by themselves, and past half ours would be short.
-func mostClients(cfg config.Config) int { return cfg.Sockets / 2 }
+// clientSockets is half the descriptors: clients keep to a third by themselves, and past half ours would be short.
+func clientSockets(cfg config.Config) int { return cfg.Sockets / 2 }
+
+// mostLingering connections that are shut and not closed are read on at once, and as many that are turned away are told so;
+// those beyond are closed outright.
+func mostLingering(cfg config.Config) int { return max(cfg.Sockets/64, 4) }
+
+func mostClients(cfg config.Config) int { return clientSockets(cfg) - 2*mostLingering(cfg) }
 
 // accept makes the object of a new connection; netpoll calls it before any data is read.
 func (c *Controller) accept(conn netpoll.Connection) context.Context {
@@ -40,10 +47,12 @@
 		c.connected++
 		if k.id = c.connected; c.phase == Stopped || !c.door.Came(c.now, k.id) {
 			c.counts[clientsRefused]++
+			c.turnAway(k, conn)
 			return
 		}
 		c.counts[clientsAccepted]++
 		k.link = newLink(c, conn)
+		k.shut = true
 		c.clients[k.id] = k
 		if c.phase >= Draining {
 			k.sendEmpty(frame.NoMore, 0)
@@ -60,6 +69,19 @@
 	return context.WithValue(context.Background(), clientKey{}, k)
 }
 
+// turnAway guards a client that found no place against a connection that is reset under its job: it is told that none is
+// wanted, and one that it has sent is refused. Only a few are told so at once; the others are closed.
+func (c *Controller) turnAway(k *client, conn netpoll.Connection) {
+	if c.refusing >= mostLingering(c.cfg) {
+		return
+	}
+	c.refusing++
+	k.turned, k.link = true, newLink(c, conn)
+	k.shut = true
+	k.sendEmpty(frame.NoMore, 0)
+	c.at(c.now+lingers, k.end)
+}
+
 // doorHost carries out what the door decides about clients' connections.
 type doorHost struct{ c *Controller }
 
@@ -83,12 +105,20 @@
 	} else {
 		h.c.counts[clientsIdle]++
 	}
-	h.c.drop(h.c.clients[id])
+	h.c.part(h.c.clients[id])
 }
 
 func (h doorHost) Misread(id door.ConnID) { h.c.misread(h.c.clients[id], errHalf) }
 
-// drop closes a connection at once. What is read on it from now on is not taken: its client sends it again.
+// part ends a connection on which nothing is owed. What is read on it from now on is not taken: its client sends it again.
+func (c *Controller) part(k *client) {
+	k.gone = true
+	k.faulty.Store(true)
+	c.forgetClient(k)
+	k.end()
+}
+
+// drop closes a connection at once, with all that is owed on it.
 func (c *Controller) drop(k *client) {
 	k.gone = true
 	c.forgetClient(k)
@@ -102,7 +132,9 @@
 
 func (c *Controller) clientClosed(k *client) {
 	k.link.closed()
-	k.gone = true
+	if k.gone = true; k.turned {
+		c.refusing--
+	}
 	c.forgetClient(k)
 	c.allGone(k)
 }
@@ -122,7 +154,7 @@
 		return conn.Close()
 	}
 	c := k.c
-	if k.faulty.Load() { // closes as soon as it has been told
+	if k.faulty.Load() { // ends as soon as it has been told
 		_ = conn.Reader().Skip(conn.Reader().Len())
 		return conn.Reader().Release()
 	}
@@ -302,6 +334,13 @@
 			return
 		}
 		c.counts[jobsTaken]++
+		if k.turned {
+			c.counts[jobsOverLimit]++
+			k.jobs[stream] = j
+			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
+			k.end()
+			return
+		}
 		if c.exit != nil {
 			c.exit.JobCame(c.now)
 		}
@@ -315,6 +354,9 @@
 		}
 		j.taken = c.now
 		j.expires = c.now + time.Duration(waitMS)*time.Millisecond - onTheWay
+		if c.exit != nil {
+			j.expires = min(j.expires, c.exit.Last())
+		}
 		c.jobs[j.id] = j
 		c.bytes += int64(len(j.statement))
 		if !c.admitted(j, customer, costMS, needMB, tables) {
@@ -446,6 +488,17 @@
 	first := c.now + 700*time.Millisecond
 	c.exit = door.NewExit(first, first+min(longest, 3*time.Second)-200*time.Millisecond)
 	c.at(first, c.leave)
+	last := c.exit.Last()
+	// Nothing is sent on that can't be answered before the end.
+	c.logic.Leaving(c.now, last)
+	for _, id := range sorted(c.jobs) {
+		j := c.jobs[id]
+		if j.expires = min(j.expires, last); j.out != nil && j.out.until > last {
+			d := j.out
+			d.until, d.last = last, min(d.last, last)
+			c.at(last, func() { c.timeOut(d) })
+		}
+	}
 }
 
 // leave ends the process once nothing is owed, or answers what is left when the time is over. What was sent before the
@@ -470,8 +523,15 @@
 		}
 	}
 	if end {
-		c.fail(nil)
+		for _, id := range sorted(c.clients) {
+			c.part(c.clients[id])
+		}
+		c.at(c.now+lastWords, func() { c.fail(nil) })
 		return
 	}
 	c.at(next, c.leave)
 }
+
+// lastWords is from shutting the connections of clients to the end of the process: many trips, so that none is closed over
+// bytes that nobody read. It is a quarter of what is left between the cut and the kill.
+const lastWords = 50 * time.Millisecond
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -76,6 +76,8 @@
 	lines     []slog.Record
 	counts    [counters]int64
 	bytes     int64        // of statements and pages
+	lingering atomic.Int64 // connections that are shut and not closed
+	refusing  int          // connections from clients that are turned away and not closed
 	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
 	panics    []time.Duration
 	logged    time.Duration // when the counters last were
--- a/controller/link.go
+++ b/controller/link.go
@@ -18,6 +18,7 @@
 	conn netpoll.Connection
 	rest []byte
 	wake chan struct{}
+	shut bool         // ends by shutting its side first
 	busy atomic.Int32 // reads under way, which hold what netpoll's buffer no longer shows
 	half atomic.Int64 // when the message that is not whole yet began, by the controller's clock, or 0
 
@@ -155,12 +156,48 @@
 		l.keep(-size)
 		l.mu.Unlock()
 		if ending {
+			l.shutFirst()
 			break
 		}
 	}
 	_ = l.conn.Close()
 }
 
+// lingers is how long a connection whose side here is shut is read on, for a peer that has not noticed: hundreds of trips.
+const lingers = 500 * time.Millisecond
+
+// shutFirst guards answers that are still on their way, here or in the peer's system, against what the peer sends in the very
+// moment of a close: closing over bytes that nobody read resets the connection, and they may go with it. It shuts its own
+// side, and what comes is read and passed over until the peer closes or its time is up.
+func (l *link) shutFirst() {
+	defer l.c.lingering.Add(-1)
+	if l.c.lingering.Add(1) > int64(mostLingering(l.c.cfg)) || !l.shut {
+		return
+	}
+	l.mu.Lock()
+	conn, ok := l.conn.(netpoll.Conn)
+	ok = ok && !l.over && syscall.Shutdown(conn.Fd(), syscall.SHUT_WR) == nil // open, as closed has not come for it
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	late := time.NewTimer(lingers)
+	defer late.Stop()
+	for {
+		select {
+		case <-late.C:
+			return
+		case <-l.wake:
+			l.mu.Lock()
+			over := l.over
+			l.mu.Unlock()
+			if over {
+				return
+			}
+		}
+	}
+}
+
 // hand gives what is pending to netpoll, which keeps references. It does so under the link's own lock, as the
 // buffers go when the connection's close callbacks, closed among them, are through.
 func (l *link) hand() (size int, flushed []func(), ending, over bool) {
--- a/decide/door/exit.go
+++ b/decide/door/exit.go
@@ -25,6 +25,13 @@
 // NewExit begins with a first round at a time; what is open at the last moment is cut.
 func NewExit(first, last time.Duration) *Exit { return &Exit{last: last, planned: first, after: -1} }
 
+// beforeCut is from the last deadline of a job to the cut: a few rounds, so that each is answered by what its type allows
+// and not just cut, also where a round is late.
+const beforeCut = 50 * time.Millisecond
+
+// Last is the latest deadline of a job.
+func (x *Exit) Last() time.Duration { return x.last - beforeCut }
+
 // JobCame tells of a job, taken or turned away.
 func (x *Exit) JobCame(now time.Duration) { x.came = max(x.came, now) }
 
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -203,6 +203,12 @@
 	}
 }
 
+func (p *policy) Leaving(_, last time.Duration) {
+	for _, j := range p.jobs {
+		j.expires = min(j.expires, last)
+	}
+}
+
 func (p *policy) TimerDue(time.Duration, logic.TimerID) {}
 
 func (p *policy) ProbeAnswered(time.Duration, logic.EngineID, logic.Outcome, time.Duration, logic.Load) {
--- a/logic/host.go
+++ b/logic/host.go
@@ -50,6 +50,7 @@
 		memory float64, tables Tables, repeat bool, place Placement)
 	Placed(now time.Duration, id JobID, place Placement, none bool)
 	ClientGone(now time.Duration, id JobID)
+	Leaving(now, last time.Duration) // the process ends: what it has is answered before last
 	DispatchOver(now time.Duration, id JobID, n int, engine EngineID, o Outcome, took time.Duration, over bool,
 		work time.Duration, memory float64, load Load)
 	TimerDue(now time.Duration, t TimerID)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -355,8 +355,8 @@
 
 // fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
-// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed. It
-// is a thread a core over all controllers: more of it, saved up by all, tipped engines as a burst began.
+// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
+// It is a thread a core over all controllers: more of it, saved up by all, tipped engines as a burst began.
 // Cold engines are left to their limits: guards the others against jobs for which only the cold have bounds.
 func (c *Controller) fleet() {
 	most := math.Min(c.widest, c.cores/c.many) * math.Min(1, 8*math.Max(0, 1.25-c.slow.value))
@@ -507,8 +507,8 @@
 	return true
 }
 
-// lastRepeat is when a job that may have run may go again no more: a tick inside the window of the earliest time, as
-// the clock only moves by ticks.
+// lastRepeat is when a job that may have run may go again no more: a tick inside the window of the earliest
+// time, as the clock only moves by ticks.
 func (c *Controller) lastRepeat(j *job) time.Duration {
 	if j.row.Repeat != Keyed || len(j.maybeRan) == 0 {
 		return math.MaxInt64
@@ -516,7 +516,8 @@
 	return j.maybeRan[0].sent + j.row.Window - c.set.Tick
 }
 
-// share is the part of all controllers that have an engine for a home, by its cores, none where this one has not.
+// share is the part of all controllers that have an engine for a home, by its cores, none where this one has
+// not.
 func (c *Controller) share(e *engine) float64 {
 	if e.dealt == 0 {
 		return 0
@@ -725,7 +726,8 @@
 	c.unhold(j)
 	j.ended = true
 	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
-		// The advised wait is the time that the held work takes, and up to as much again, or all come back together.
+		// The advised wait is the time that the held work takes, and up to as much again, or all come back
+		// together.
 		wait := c.drain(j) * (1 + c.rng.Float64()) * float64(time.Second)
 		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(wait)))
 	} else {
@@ -747,6 +749,15 @@
 	}
 }
 
+// Leaving bounds all deadlines by the end of the process, so that nothing is sent on that can't be answered
+// by then.
+func (c *Controller) Leaving(now, last time.Duration) {
+	c.now = now
+	for _, j := range c.jobs {
+		j.d = min(j.d, last)
+	}
+}
+
 // Placed narrows a job's engines anew. One that can go to none any more is answered at once.
 func (c *Controller) Placed(now time.Duration, id JobID, place Placement, none bool) {
 	if j := c.jobs[id]; j != nil {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -42,6 +42,16 @@
 		h.over("j", 0, "a", TimedOut)
 		h.c.ClientGone(h.now, "j")
 	})
+	run(t, "rule1_leaving", func(h *bench) { // the hopeless is answered, the others have until the end
+		h.start(nil)
+		h.up("a")
+		h.fill("a", 0)
+		h.take("held", "report", "", 20*time.Second)
+		h.c.Leaving(h.now, h.now+1500*ms)
+		h.over("fill", 0, "a", Done)
+		h.after(1500 * ms)
+		h.over("held", 0, "a", TimedOut)
+	})
 	run(t, "rule2_cell_moves", func(h *bench) { // what may have run is known where it ran, not where the engine is now
 		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
 		h.up("a")
