What a client sent is heard before its waiting job leaves; replaced engines take back

Need, read in the code: (1) a cancel that lies unread while the process is behind is heard after the job was sent on. An attempt of a job that waited is held while its client's connection has something unread, 50 ms at the most (place, unsure). (2) What waited in the writer for a process that another one replaced at the same name went to the old one (engineListed, unaddress). (3) SHED or LATE behind a begun answer was taken as proof that nothing ran, and a non-idempotent job went again (engineSays).

Tests, each failing with its guard taken out: TestCancelUnread, TestReplacedTakesBack, TestTurnedAwayAfterBegun. A first form of (1) that waited once for 2 ms failed its test always: with one processor the reader may come to it 10 ms later; it is bounded by the clock now.

--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -12,6 +12,7 @@
 
 	"yarrowbarrow/config"
 	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/logic"
 )
 
 // Two events that cross, with the order forced: a connection is held until the other event has been taken in, or both
@@ -128,6 +129,36 @@
 	b.onlyHears(e, other, 2)
 }
 
+// TestCancelUnread: the same for a cancel that lies unread. The dispatch waits once, for the reader to come to it.
+func TestCancelUnread(t *testing.T) {
+	e := newStandIn(t, "127.0.0.1:0")
+	b := start(t, `,"may_cancel":false`, e)
+	k, other := b.client(), b.client()
+	k.quick(1, "2900")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	g := b.holdDials()
+	b.c.do(func() { b.c.engines["e0"].links[0].stale = true })
+	k.quick(2, "2900")
+	g.waits(t)
+	b.c.do(func() { // nothing is heard under the lock
+		j := b.c.jobs["0000000000000002"]
+		l := j.client.link
+		k.write(frame.AppendHead(nil, frame.Gone, 2, 0))
+		for late := time.Now().Add(patience); !l.unread() && time.Now().Before(late); {
+		}
+		b.c.engines["e0"].links[0].stale = false // a connection is there at last
+		b.c.now++
+		b.c.place(j.out.engine)
+		if j.out.link != nil {
+			t.Error("sent on before the client was heard")
+		}
+	})
+	b.until(func() bool { return len(b.c.jobs) == 0 })
+	g.pass <- struct{}{}
+	b.onlyHears(e, other, 3)
+}
+
 // TestWindowPassesWhileDialing: a keyed job that may have run, and whose connection comes up only when the window of its key
 // has passed, is answered as it passes and not sent.
 func TestWindowPassesWhileDialing(t *testing.T) {
@@ -206,3 +237,48 @@
 	default:
 	}
 }
+
+// TestReplacedTakesBack: what waits in the writer of a connection to a process that another one has replaced goes to the new
+// one.
+func TestReplacedTakesBack(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := start(t, `},"tick":1000000000,"more":{"none":0`, e)
+	k := b.client()
+	k.quick(1, "2900")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	b.until(func() bool { return b.c.counts[done] == 1 })
+	k.quick(2, "2900")
+	b.until(func() bool { return len(b.c.jobs) == 1 })
+	b.list.tell(false, [3]string{"e0", f.ln.Addr().String(), "active"})
+	b.c.do(func() { // at once, as the feed's calls wait a tick too
+		_ = b.c.feed.tell([]byte(b.list.text(1)), whole)
+	})
+	f.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+	select {
+	case c := <-e.said:
+		t.Error("to the old process: ", c.words)
+	default:
+	}
+}
+
+// TestTurnedAwayAfterBegun: an answer that it never ran, behind one that it did, proves nothing: a non-idempotent job does
+// not go again.
+func TestTurnedAwayAfterBegun(t *testing.T) {
+	for _, word := range []string{"SHED", "LATE"} {
+		e := newStandIn(t, "127.0.0.1:0")
+		b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Types[0].Repeat = logic.RunOnce }, e)
+		k := b.client()
+		k.quick(1, "2900")
+		c := e.hears("serve")
+		c.answer("HIT", "count=2", rowA)
+		c.answer(word, "-", "")
+		k.gets(frame.Answer, 1, frame.CancelledFor, "")
+		b.c.do(func() {
+			if b.c.counts[dispatched] != 1 {
+				t.Error(word, b.c.counts[dispatched], "attempts")
+			}
+		})
+	}
+}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -99,8 +99,9 @@
 	moved := e.address != address || e.since != since
 	e.address, e.location, e.kind, e.cell, e.state, e.weight, e.since = address, location, kind, cell, state,
 		weight, since
-	if moved { // another process: what is open to the old one leads nowhere new
+	if moved { // another process: what is open to the old one leads nowhere new, and what is queued would go there
 		c.abandon(e)
+		c.takeBackQueued(e)
 		c.place(e)
 	}
 	if state != logic.Up {
@@ -111,6 +112,7 @@
 func (c *Controller) unaddress(e *engine) {
 	e.address = ""
 	c.abandon(e)
+	c.takeBackQueued(e)
 	c.refuse(e, logic.NoConnection)
 }
 
@@ -127,15 +129,20 @@
 
 // retract guards the drain of an engine that takes in nothing: what has not left by now would leave any time later.
 func (c *Controller) retract(e *engine) {
+	c.takeBackQueued(e)
+	for _, d := range e.waiting {
+		c.later(func() { c.takeBack(d) })
+	}
+}
+
+// takeBackQueued ends what is on connections to an engine and has not left.
+func (c *Controller) takeBackQueued(e *engine) {
 	for _, l := range e.links {
 		for _, id := range sorted(l.open) {
 			d := l.open[id]
 			c.later(func() { c.takeBack(d) })
 		}
 	}
-	for _, d := range e.waiting {
-		c.later(func() { c.takeBack(d) })
-	}
 }
 
 // refuse tells the outcome of what waits for a connection to an engine and has no dial left to wait for.
@@ -163,6 +170,11 @@
 			c.later(func() { c.takeBack(d) })
 			continue
 		}
+		if c.unsure(d) {
+			c.at(c.clock()+catchUp, func() { c.place(e) }) // not by c.now, which a process that is behind has long passed
+			at++
+			continue
+		}
 		l := e.roomiest(d.job)
 		if l != nil && (len(l.open) == 0 || crowded && len(l.open) < c.cfg.Settings.Streams) {
 			e.waiting = slices.Delete(e.waiting, at, at+1)
@@ -480,6 +492,10 @@
 			}
 			err = c.page(d, page, body)
 		case "SHED", "LATE":
+			if d.begun { // it ran, so this is no proof that it did not
+				err = errSecond
+				break
+			}
 			c.unlist(d)
 			c.over(d, logic.TurnedAway)
 		case "FAULT":
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -45,9 +45,10 @@
 	reads     time.Duration // when they were asked for
 	paged     time.Duration // when the last one came
 	begun     bool
-	stopped   bool // the engine was told to stop, or the connection closed
-	fenced    bool // waits until the one before has stopped
-	withdrawn bool // taken back before any byte had left
+	stopped   bool          // the engine was told to stop, or the connection closed
+	fenced    bool          // waits until the one before has stopped
+	asked     time.Duration // since when it waits for its client to be heard, or 0
+	withdrawn bool          // taken back before any byte had left
 	work      time.Duration
 	memory    float64
 	load      logic.Load
@@ -199,6 +200,22 @@
 	}
 }
 
+// catchUp is for what lies unread to be read, and is waited for up to mostBehind: half the tenth of a second in which a
+// client that is gone has to be heard, and little against a job.
+const catchUp, mostBehind = 2 * time.Millisecond, 50 * time.Millisecond
+
+// unsure tells that the client of a dispatch that waited has sent what was not read yet, as the process is behind: it may
+// be that the client is gone.
+func (c *Controller) unsure(d *dispatch) bool {
+	if d.job.client == nil || c.now == d.job.taken || !d.job.client.unread() {
+		return false
+	}
+	if d.asked == 0 {
+		d.asked = c.clock()
+	}
+	return c.clock()-d.asked < mostBehind
+}
+
 // fit tells whether a dispatch may still leave. Guards against all that may have ended while it waited for a connection
 // or at a fence: its client, its engine's service, its time; and against a client that has closed its connection and was
 // not heard yet, as the process stood still.
