Told costs that lean are no congestion to a controller that has few answers

Change: where one in twenty of the last forty answers took less than 0.65 of its told cost, slowness over the standstill counts by the square of what is learned.

Test: TestLeaningEstimates, fails without.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,6 +117,7 @@
 	bound, threads         float64       // as an engine's, over all in use; a cold one's bound is what it has
 	credit                 float64       // thread seconds of the bounds left unused of late, when metered
 	metered                time.Duration
+	under                  mean // answers that took far less than their told cost
 	slow, full             mean // latency over the best, and memory granted, over all engines
 }
 
@@ -660,6 +661,13 @@
 	e.suspected, e.trial = true, c.now+time.Duration((0.75+c.rng.Float64()/2)*float64(e.wait))
 }
 
+// Answers that take less than two thirds of their told cost tell that told costs scatter or lean: no
+// congestion brings them about, and warm data and fast cores seldom save as much; one in twenty of late is
+// enough. Guards against classes whose costs are told too low, which look like congestion to a controller
+// that has few answers. Harm: where some jobs keep their data warm while others wait, congestion is seen
+// later.
+const underOver, someUnder, farUnder = 40, 0.05, 0.65
+
 // One bad plan or wait behind a load shrinks no bound; memory granted spans about a bound's worth of answers.
 // The means of a type span learnOver jobs, seconds of a quick type.
 const mostSlow, fullOver, learnOver = 4, 20, 60
@@ -667,6 +675,13 @@
 func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
 	r := j.row
 	x := float64(took) / j.unitCost()
+	if j.cost > 0 {
+		under := 0.0
+		if x < farUnder {
+			under = 1
+		}
+		c.under.add(under, underOver)
+	}
 	if r.unit.n > 5 {
 		x = math.Min(x, 4*r.unit.value) // one bad plan does not move the mean
 	}
@@ -687,17 +702,26 @@
 		best = 1 + math.Max(best-1, 0)*r.unit.n/learnOver
 	}
 	if best > 0 {
-		c.fit(d.engine, j, math.Min(float64(took)/(j.unitCost()*best), mostSlow), full)
+		slow := math.Min(float64(took)/(j.unitCost()*best), mostSlow)
+		if j.cost > 0 && c.under.value > someUnder {
+			// What is over the target counts by how much is learned, squared, as many such answers add up.
+			slow -= math.Max(slow-slowTold/slowAll, 0) * (1 - math.Pow(r.unit.n/learnOver, 2))
+		}
+		c.fit(d.engine, j, slow, full)
 	}
 }
 
-// fit widens or shrinks bounds. Target is the slowness at which one stands still: at 1.6 an engine is busy
-// and not thrashing, at 1.5 all; with no cost told the best mean is lucky and lies lower. Least, an even
-// share of the cores, guards against starving beside controllers that stay wide; most is two threads a core,
-// and up to eight while all is quick, as some controllers get several times the mean.
+// slowTold is the slowness at which an engine is busy and not thrashing, where costs are told; all together
+// stand still at 1.5.
+const slowTold, slowAll = 1.6, 1.07
+
+// fit widens or shrinks bounds. Target is the slowness at which one stands still; with no cost told the
+// best mean is lucky and lies lower. Least, an even share of the cores, guards against starving beside
+// controllers that stay wide; most is two threads a core, and up to eight while all is quick, as some
+// controllers get several times the mean.
 func (c *Controller) fit(e *engine, j *job, slow, full float64) {
 	const least, most, wide = 1.0, 2.0, 8.0
-	target := 1.6
+	target := slowTold
 	if j.cost == 0 {
 		target = 2.0
 	}
@@ -714,7 +738,7 @@
 	c.slow.add(slow, 10)
 	c.fleet()
 	e.bound *= 1 + push(e.slow.Slow(c.now), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
-	all := 1 + push(1.07*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
+	all := 1 + push(slowAll*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
 	until := most + (wide-most)*math.Max(0, math.Min(1, (1.3-c.slow.value)/0.3))
 	for _, e := range c.engines {
 		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), until*e.cores*2/(1+c.many))
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -340,3 +340,40 @@
 		t.Errorf("after slow answers %.2f threads, two a core are %.2f", h.c.bound, even)
 	}
 }
+
+// TestLeaningEstimates: told costs that are a third of the time alone for one class, and more than it for another, are no
+// congestion: a controller of many that has just begun keeps the bounds it began with. Where no class takes less than told
+// they shrink.
+func TestLeaningEstimates(t *testing.T) {
+	for _, leans := range []bool{true, false} {
+		h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
+		h.start(func(s *Settings) { s.Controllers = 10 })
+		h.up("a", "b")
+		n := 0
+		answered := func(name TypeName, took time.Duration) float64 {
+			n++
+			id := JobID(fmt.Sprint("j", n))
+			h.c.JobTaken(h.now, id, name, "", "", h.now+5*time.Second, 100*ms, 0, Tables(n), false, nil)
+			h.now += took
+			if j := h.c.jobs[id]; j != nil && j.out != nil {
+				h.c.DispatchOver(h.now, id, 0, j.out.engine.id, Done, took, true, 0, 0, Load{})
+			}
+			h.c.fleet()
+			return h.c.bound
+		}
+		for range 5 {
+			took := 100 * ms
+			if leans {
+				took = 60 * ms
+			}
+			answered("once", took)
+		}
+		began, least := h.c.bound, h.c.bound
+		for range 30 {
+			least = min(least, answered("lookup", 300*ms))
+		}
+		if leans != (least > 0.8*began) {
+			t.Errorf("leans %v: %.2f threads of %.2f at the least", leans, least, began)
+		}
+	}
+}
