A keyed job whose window ends while it is held is answered then; all clients are shut at the end

Need, read in the code: (1) a keyed job that may have run and waits for room or budget stayed held when its window ended, or its group left, up to its deadline, though it could go nowhere any more (TimerDue looked at time only): a job given up on is answered at once. (2) At the end of the process only Sockets/64 connections were shut before they were closed; nothing needs their descriptors then.

Tests, each failing without: trace rule2_window_ends_while_held, TestEndsWithClientsAtRest with twice as many clients.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -523,6 +523,7 @@
 		}
 	}
 	if end {
+		c.parting.Store(true)
 		for _, id := range sorted(c.clients) {
 			c.part(c.clients[id])
 		}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -77,6 +77,7 @@
 	counts    [counters]int64
 	bytes     int64        // of statements and pages
 	lingering atomic.Int64 // connections that are shut and not closed
+	parting   atomic.Bool  // the process ends now: nothing new needs a descriptor
 	refusing  int          // connections from clients that are turned away and not closed
 	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
 	panics    []time.Duration
--- a/controller/crossing_close_test.go
+++ b/controller/crossing_close_test.go
@@ -62,15 +62,22 @@
 	b.until(func() bool { return b.c.lingering.Load() == 0 })
 }
 
-// TestEndsWithClientAtRest: a process that ends shuts the connections of clients that rest before it goes.
-func TestEndsWithClientAtRest(t *testing.T) {
+// TestEndsWithClientsAtRest: a process that ends shuts the connections of all clients that rest before it goes, however many.
+func TestEndsWithClientsAtRest(t *testing.T) {
 	b := start(t, "")
-	k := b.client()
+	var clients []conn
+	for range 2 * mostLingering(b.c.cfg) {
+		clients = append(clients, b.client())
+	}
 	b.stop()
-	k.gets(frame.NoMore, 0, 0, "")
-	b.until(func() bool { return b.c.lingering.Load() == 1 })
-	k.quick(1, "2000") // into the close
-	k.closes()
+	for _, k := range clients {
+		k.gets(frame.NoMore, 0, 0, "")
+	}
+	b.until(func() bool { return int(b.c.lingering.Load()) == len(clients) })
+	for _, k := range clients {
+		k.quick(1, "2000") // into the close
+		k.closes()
+	}
 	b.exits()
 }
 
--- a/controller/link.go
+++ b/controller/link.go
@@ -171,7 +171,7 @@
 // side, and what comes is read and passed over until the peer closes or its time is up.
 func (l *link) shutFirst() {
 	defer l.c.lingering.Add(-1)
-	if l.c.lingering.Add(1) > int64(mostLingering(l.c.cfg)) || !l.shut {
+	if l.c.lingering.Add(1) > int64(mostLingering(l.c.cfg)) && !l.c.parting.Load() || !l.shut {
 		return
 	}
 	l.mu.Lock()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -860,8 +860,10 @@
 		return
 	}
 	// Held jobs that are out of time are refused, and those that are out looked at.
+	// One that may have run and can go nowhere any more, as its key's window has ended or its group has left, is
+	// answered at once too.
 	for _, j := range slices.Clone(c.held) {
-		if c.hopeless(j) {
+		if c.hopeless(j) || j.row.Repeat == Keyed && len(j.maybeRan) > 0 && !c.couldGo(j) {
 			c.end(j)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -52,6 +52,16 @@
 		h.after(1500 * ms)
 		h.over("held", 0, "a", TimedOut)
 	})
+	run(t, "rule2_window_ends_while_held", func(h *bench) { // no room till then: it is answered as it can't go any more
+		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.up("a")
+		h.take("j", "load", "", 20*time.Second)
+		h.fill("a", 0)
+		h.c.byID["a"].suspected, h.c.byID["a"].trial = true, h.now+time.Hour
+		h.up("b1")
+		h.over("j", 0, "a", ConnectionLost)
+		h.after(5 * time.Second)
+	})
 	run(t, "rule2_cell_moves", func(h *bench) { // what may have run is known where it ran, not where the engine is now
 		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
 		h.up("a")
