--- a/cmd/yarrowbarrow/demo.go
+++ b/cmd/yarrowbarrow/demo.go
@@ -186,7 +186,7 @@
 // show prints a line each second: what was answered in it, what routes took, and what engines run.
 func (d *demoRoom) show(mix *load.Mix, ctl *controller.Controller, over chan struct{}) {
 	w := func(cells ...string) { fmt.Fprintln(d.out, strings.Join(cells, "  ")) }
-	w(fmt.Sprintf("%4s", "s"), fmt.Sprintf("%-30s", "done/throttled/cancelled, p50"), fmt.Sprintf("%-34s", "routes: taken (by fallback)"), "engines: running+waiting")
+	w(fmt.Sprintf("%4s", "s"), fmt.Sprintf("%-30s", "done/rejected/cancelled, p50"), fmt.Sprintf("%-34s", "routes: taken (by fallback)"), "engines: running+waiting")
 	last, lastRoutes := map[string]load.Count{}, map[string]controller.RouteReport{}
 	for tick := time.NewTicker(time.Second); ; {
 		select {
@@ -199,7 +199,7 @@
 		counts := mix.Counts()
 		for _, k := range demoKinds {
 			was, now := last[k.Type], counts[k.Type]
-			answers = append(answers, fmt.Sprintf("%s %d/%d/%d %v", k.Type, now.Done-was.Done, now.Throttled-was.Throttled,
+			answers = append(answers, fmt.Sprintf("%s %d/%d/%d %v", k.Type, now.Done-was.Done, now.Rejected-was.Rejected,
 				now.Cancelled-was.Cancelled, load.Quantile(now.Took[len(was.Took):], 0.5).Round(time.Millisecond)))
 		}
 		last = counts
@@ -219,11 +219,11 @@
 
 func (d *demoRoom) summary(mix *load.Mix, ctl *controller.Controller) {
 	w := tabwriter.NewWriter(d.out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "\ntype\tjobs\tdone\tin time\tthrottled\tcancelled for good\tlost\tp50\tp99")
+	fmt.Fprintln(w, "\ntype\tjobs\tdone\tin time\tthrottled\tfailed\tlost\tp50\tp99")
 	counts := mix.Counts()
 	for _, k := range demoKinds {
 		n := counts[k.Type]
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\n", k.Type, n.Sent, n.Done, n.InTime, n.Throttled, n.Cancelled, n.Lost,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\n", k.Type, n.Sent, n.Done, n.InTime, n.Rejected, n.Cancelled, n.Lost,
 			load.Quantile(n.Took, 0.5).Round(time.Millisecond), load.Quantile(n.Took, 0.99).Round(time.Millisecond))
 	}
 	fmt.Fprintln(w, "\nroute\ttaken\tby a fallback\toverflowed\tmoved\trefused")
--- a/cmd/yarrowbarrow/fleet.go
+++ b/cmd/yarrowbarrow/fleet.go
@@ -36,7 +36,7 @@
 	Uneven      bool          `help:"Every third engine has twice the cores."`
 	PerSecond   float64       `default:"8" help:"Jobs a second that a controller gets in the mean, of 76 ms core time each; some get several times as many."`
 	Rooms       int           `default:"1" help:"That controllers and engines are in, by turns; faults on links cut them off."`
-	Ruled       bool          `help:"Play jobs of all kinds that rules are about, run-once, keyed, bound to a room."`
+	Ruled       bool          `help:"Play jobs of all kinds that rules are about, non-idempotent, keyed, bound to a room."`
 	Length      time.Duration `default:"15s" help:"How long the load lasts."`
 	Seed        int64         `default:"1" help:"Of the load and of whom faults strike."`
 	Faults      []string      `name:"fault" sep:";" placeholder:"FAULT" help:"What goes wrong, also several times, as in stop:0.3@5s/3s. The command fleet faults lists them."`
@@ -220,11 +220,11 @@
 	add("surge, 50ms", "%.1f", func(r fleet.Result) float64 { return r.Figures.Surge })
 	add("idle while a job was held, %", "%.2f", func(r fleet.Result) float64 { return 100 * r.Figures.Idle })
 	add("core time used, %", "%.1f", func(r fleet.Result) float64 { return 100 * r.Figures.Busy })
-	add("throttled, %", "%.2f", func(r fleet.Result) float64 { return 100 * r.Figures.Throttled })
-	add("throttled beside a free core, %", "%.2f", func(r fleet.Result) float64 { return 100 * r.Figures.Stranded })
+	add("rejected, %", "%.2f", func(r fleet.Result) float64 { return 100 * r.Figures.Rejected })
+	add("rejected beside a free core, %", "%.2f", func(r fleet.Result) float64 { return 100 * r.Figures.Stranded })
 	add("in time, %, mean of controllers", "%.1f", func(r fleet.Result) float64 { return 100 * r.Figures.InTime })
 	add("at the worst controller", "%.1f", func(r fleet.Result) float64 { return 100 * r.Figures.Worst })
-	add("dispatches a job", "%.2f", func(r fleet.Result) float64 { return r.Figures.Dispatch })
+	add("attempts a job", "%.2f", func(r fleet.Result) float64 { return r.Figures.Attempt })
 	add("dials", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.Dials.Total) })
 	add("most a second over the mean", "%.1f", func(r fleet.Result) float64 { return r.Figures.Dials.Most })
 	add("feed calls", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.FeedCalls.Total) })
@@ -396,7 +396,7 @@
 				return 0
 			}
 			fmt.Fprintf(w, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\t%.1f\t%d\t%.1f\t%s\n", p.Day, p.Policy, at(1), at(2), f.Herd,
-				f.HerdMost, 100*f.Idle, 100*f.Throttled, 100*f.InTime, 100*f.Worst, f.Dials.Total, f.Dials.Most, f.FeedCalls.Total,
+				f.HerdMost, 100*f.Idle, 100*f.Rejected, 100*f.InTime, 100*f.Worst, f.Dials.Total, f.Dials.Most, f.FeedCalls.Total,
 				f.FeedCalls.Most, rules)
 		}
 		err = w.Flush()
--- a/config/settings.go
+++ b/config/settings.go
@@ -95,7 +95,7 @@
 		ListOnRequest: c.Discovery == "on_request", MayRecall: c.Permissions.MayCancel,
 		GrantsCount: c.FamilyInfo.GrantsCount, PriorityHeeded: c.FamilyInfo.RanksHeeded,
 		GrantShare: c.FamilyInfo.GrantCap, OverGrantsPage: c.FamilyInfo.OutOfMemory == "swap",
-		MaxDispatches: c.Permissions.MaxAttempts, Tick: c.Tick,
+		MaxAttempts: c.Permissions.MaxAttempts, Tick: c.Tick,
 		StartCapacity: c.Safety.StartCapacity, Cold: c.Safety.Cold, FallMultiple: c.Safety.TipMultiple,
 		Fall: c.Safety.Fall, KeyQuiet: c.Safety.KeyQuiet, BudgetWindow: c.Safety.BudgetWindow,
 		BudgetFree: c.Safety.ExtraFloor, BudgetShare: c.Safety.ExtraPerRequest,
@@ -104,8 +104,8 @@
 		s.MaxComeBack = c.Permissions.MaxRetryAfter
 	}
 	for n, class := range c.Classes {
-		repeat, known := map[string]logic.Repeat{"retryable": logic.Restartable, "dedup": logic.Keyed,
-			"fragile": logic.RunOnce}[class.Repeat]
+		repeat, known := map[string]logic.Repeat{"retryable": logic.Idempotent, "dedup": logic.Keyed,
+			"fragile": logic.NonIdempotent}[class.Repeat]
 		if !known {
 			return Settings{}, faulty(fmt.Sprintf("settings.classes[%d].repeat", n), class.Repeat,
 				"retryable, dedup or fragile")
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -12,13 +12,13 @@
 	"yarrowbarrow/logic"
 )
 
-// BenchmarkJobTaken: what a job costs from the door to its dispatch and its end, without sockets: with no operators'
+// BenchmarkJobTaken: what a job costs from the door to its attempt and its end, without sockets: with no operators'
 // file, with 10 and with 1,000 routes. Compare runs with benchstat -col /routes.
 func BenchmarkJobTaken(b *testing.B) {
 	for _, routes := range []int{0, 10, 1000} {
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
 			cfg := config.Config{Name: "n", MemoryMB: 192, Sockets: 256, Cores: 1}
-			cfg.Settings.Logic = logic.Settings{Controllers: 1, Location: "east", MaxDispatches: 3, Tick: 5 * time.Millisecond,
+			cfg.Settings.Logic = logic.Settings{Controllers: 1, Location: "east", MaxAttempts: 3, Tick: 5 * time.Millisecond,
 				Kinds: []logic.EngineKind{{Name: "std", Cores: 8}},
 				Types: []logic.Type{{Name: "quick", SLATime: time.Second, JobTimeout: 5 * time.Second, Value: 1, Threads: 1}}}
 			c := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -56,12 +56,12 @@
 				}
 				c.logic.JobTaken(c.now, j.id, j.name, "", "", j.expires, 20*time.Millisecond, 0, 1, false, j.place)
 				if j.sent != 1 {
-					b.Fatal("not dispatched")
+					b.Fatal("not attempted")
 				}
 				if c.router != nil {
-					c.router.DispatchOver(c.now, route.JobID(j.id))
+					c.router.AttemptOver(c.now, route.JobID(j.id))
 				}
-				c.logic.DispatchOver(c.now, j.id, 0, "", logic.Done, 20*time.Millisecond, true, 20*time.Millisecond, 0, noLoad)
+				c.logic.AttemptOver(c.now, j.id, 0, "", logic.Done, 20*time.Millisecond, true, 20*time.Millisecond, 0, noLoad)
 				j.client = nil
 				c.forget(j)
 				c.queue = nil
@@ -70,19 +70,19 @@
 	}
 }
 
-// benchHost carries nothing out but the count of a dispatch.
+// benchHost carries nothing out but the count of an attempt.
 type benchHost struct{ c *Controller }
 
-func (h benchHost) Dispatch(id logic.JobID, _ logic.EngineID, _, _ time.Duration) {
+func (h benchHost) Attempt(id logic.JobID, _ logic.EngineID, _, _ time.Duration) {
 	h.c.jobs[id].sent++
 	if h.c.router != nil {
-		h.c.router.Dispatched(h.c.now, route.JobID(id))
+		h.c.router.Attempted(h.c.now, route.JobID(id))
 	}
 }
 func (benchHost) SetTerms(logic.JobID, float64, int)     {}
 func (benchHost) Recall(logic.JobID, int)                {}
-func (benchHost) Throttle(logic.JobID, time.Duration)    {}
-func (benchHost) CancelForGood(logic.JobID)              {}
+func (benchHost) Reject(logic.JobID, time.Duration)      {}
+func (benchHost) Fail(logic.JobID)                       {}
 func (benchHost) WakeAfter(logic.TimerID, time.Duration) {}
 func (benchHost) Follow(bool)                            {}
 func (benchHost) FetchList()                             {}
--- a/controller/clients.go
+++ b/controller/clients.go
@@ -216,13 +216,13 @@
 		}
 	}
 	k.faulty.Store(true)
-	k.send(frame.Answer, 0, frame.CancelledFor, "error", err.Error())
+	k.send(frame.Answer, 0, frame.Failed, "error", err.Error())
 	k.end()
 }
 
-// cut cancels a job for good whatever it is at.
+// cut fails a job whatever it is at.
 func (c *Controller) cut(j *job) {
-	c.cancelForGood(j)
+	c.failJob(j)
 	c.unwanted(j)
 }
 
@@ -309,7 +309,7 @@
 				c.misread(k, errStream)
 				return
 			}
-			k.send(frame.Answer, stream, frame.CancelledFor, "error", err.Error())
+			k.send(frame.Answer, stream, frame.Failed, "error", err.Error())
 		}
 	}
 	waitMS, _ := strconv.ParseUint(string(f.wait), 10, 32)
@@ -328,14 +328,14 @@
 			return
 		case c.jobs[j.id] != nil:
 			c.counts[jobsMisread]++
-			k.send(frame.Answer, stream, frame.CancelledFor, "error", "id: in use")
+			k.send(frame.Answer, stream, frame.Failed, "error", "id: in use")
 			return
 		}
 		c.counts[jobsTaken]++
 		if k.turned {
 			c.counts[jobsOverLimit]++
 			k.jobs[stream] = j
-			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
+			c.reject(j, c.cfg.Settings.Logic.MaxComeBack)
 			k.end()
 			return
 		}
@@ -347,7 +347,7 @@
 		if most := c.cfg.Settings.OpenCap; c.full(len(j.statement)) || most > 0 && len(c.jobs) >= most ||
 			len(k.jobs) > streamsPerClient || c.phase >= Leaving {
 			c.counts[jobsOverLimit]++
-			c.throttle(j, c.cfg.Settings.Logic.MaxComeBack)
+			c.reject(j, c.cfg.Settings.Logic.MaxComeBack)
 			return
 		}
 		j.taken = c.now
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -67,7 +67,7 @@
 	exit      *door.Exit // nil until told to stop
 	engines   map[logic.EngineID]*engine
 	probes    map[string]*probe
-	fences    map[string]*dispatch
+	fences    map[string]*attempt
 	links     int // connections to engines, dials among them
 	feed      *feed
 	timers    timers
@@ -100,7 +100,7 @@
 	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
 		apart: spread.NewApart(cfg.Settings.Logic.Controllers, cfg.Settings.Logic.Number, cfg.Seed^1), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
-		fences: map[string]*dispatch{}}
+		fences: map[string]*attempt{}}
 	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return config.Module(h, s, seed) }
 	c.feed = &feed{c: c, address: cfg.Feed, pace: watch.For(cfg.Settings.DrainGrace), dials: map[int64]context.CancelFunc{}}
 	c.connect = dialTCP
@@ -273,7 +273,7 @@
 }
 
 // broke guards against a fault in the module or in the code round it. What the module held can't be trusted
-// any more, so all jobs are cancelled for good and a new module begins, like a restart that keeps the sockets.
+// any more, so all jobs are failed and a new module begins, like a restart that keeps the sockets.
 // A fault that comes back within seconds ends the process, as a half-dead controller is worse than none.
 func (c *Controller) broke(why any) {
 	c.counts[panicked]++
@@ -286,7 +286,7 @@
 	}
 	c.queue = nil
 	for _, j := range c.jobs {
-		c.cancelForGood(j)
+		c.failJob(j)
 		if d := j.out; d != nil {
 			c.letGo(d)
 		}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -425,7 +425,7 @@
 	k.quick(1, "2000")
 	c := e.hears("serve")
 	k.quick(2, "2000")
-	if fields := k.gets(frame.Answer, 2, frame.Throttled, ""); fields["after"] != "1000" {
+	if fields := k.gets(frame.Answer, 2, frame.Rejected, ""); fields["after"] != "1000" {
 		t.Error(fields)
 	}
 	c.answer("HIT", "count=1", "")
@@ -456,7 +456,7 @@
 	began := time.Now()
 	k.quick(1, "600")
 	e.hears("serve")
-	k.gets(frame.Answer, 1, frame.Throttled, "")
+	k.gets(frame.Answer, 1, frame.Rejected, "")
 	if took := time.Since(began); took > 650*time.Millisecond {
 		t.Error("answered after", took)
 	}
@@ -484,13 +484,13 @@
 	_, other = both(3, "500")
 	other.answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 4, frame.Done, rowA)
-	k.gets(frame.Answer, 3, frame.Throttled, "")
+	k.gets(frame.Answer, 3, frame.Rejected, "")
 	if both(5, "2900"); len(conns) != 2 {
 		t.Error(len(conns), "connections")
 	}
 }
 
-// TestStopsBeforeNext: the next dispatch goes out only once the engine has taken in that the one before is over.
+// TestStopsBeforeNext: the next attempt goes out only once the engine has taken in that the one before is over.
 func TestStopsBeforeNext(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	k := start(t, `,"probes":true`, e).client()
@@ -653,7 +653,7 @@
 }
 
 // TestLateWhileLeaving: a client that comes, or sends, when the controller is about to go is answered all the same, so
-// that a job that a slow machine brings late is throttled and not lost.
+// that a job that a slow machine brings late is rejected and not lost.
 func TestLateWhileLeaving(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
@@ -671,15 +671,15 @@
 	l := conn{late, t}
 	l.quick(3, "2000")
 	l.gets(frame.NoMore, 0, 0, "")
-	l.gets(frame.Answer, 3, frame.Throttled, "")
+	l.gets(frame.Answer, 3, frame.Rejected, "")
 	k.quick(2, "2000")
-	k.gets(frame.Answer, 2, frame.Throttled, "")
+	k.gets(frame.Answer, 2, frame.Rejected, "")
 	c.answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
 	b.exits()
 }
 
-// TestStopsOnSilence: what nothing answers is cancelled for good before the time is over.
+// TestStopsOnSilence: what nothing answers is failed before the time is over.
 func TestStopsOnSilence(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
@@ -689,7 +689,7 @@
 	began := time.Now()
 	b.stop()
 	k.gets(frame.NoMore, 0, 0, "")
-	k.gets(frame.Answer, 1, frame.Throttled, "")
+	k.gets(frame.Answer, 1, frame.Rejected, "")
 	b.exits()
 	if took := time.Since(began); took > 3700*time.Millisecond {
 		t.Error("exit after", took)
@@ -718,14 +718,14 @@
 		{"class", "load", "id", "0000000000000001", "wait", "100"},
 	} {
 		k.asks(uint32(stream+1), "", fields...)
-		if got := k.gets(frame.Answer, uint32(stream+1), frame.CancelledFor, ""); got["error"] == "" {
+		if got := k.gets(frame.Answer, uint32(stream+1), frame.Failed, ""); got["error"] == "" {
 			t.Error(got)
 		}
 	}
 	for _, data := range [][]byte{{0, 0, 0, 1}, {0x7f, 0, 0, 0}, frame.AppendHead(nil, 77, 1, 0)} {
 		k := b.client()
 		k.write(data)
-		k.gets(frame.Answer, 0, frame.CancelledFor, "")
+		k.gets(frame.Answer, 0, frame.Failed, "")
 		k.closes()
 	}
 	k.quick(30, "2000")
@@ -734,8 +734,8 @@
 	k.quick(31, "2000") // is answered before the connection ends
 	e.hears("serve")
 	k.quick(30, "2000") // not new, though the job is over
-	k.gets(frame.Answer, 31, frame.CancelledFor, "")
-	k.gets(frame.Answer, 0, frame.CancelledFor, "")
+	k.gets(frame.Answer, 31, frame.Failed, "")
+	k.gets(frame.Answer, 0, frame.Failed, "")
 	k.closes()
 	e.hears("cancel")
 }
@@ -750,7 +750,7 @@
 	}
 	for last := uint32(0); last != 33; { // the module may turn others away
 		_, stream, code, _, _ := k.next()
-		if last = stream; code != frame.Throttled {
+		if last = stream; code != frame.Rejected {
 			t.Fatal(stream, code)
 		}
 	}
@@ -795,7 +795,7 @@
 	})
 	silent.gets(frame.NoMore, 0, 0, "")
 	silent.closes()
-	half.gets(frame.Answer, 0, frame.CancelledFor, "")
+	half.gets(frame.Answer, 0, frame.Failed, "")
 	half.closes()
 	first := dial()
 	for range b.c.door.Most() {
@@ -840,7 +840,7 @@
 	k.quick(1, "2000")
 	e.hears("serve")
 	b.c.do(func() { panic("for the test") })
-	k.gets(frame.Answer, 1, frame.CancelledFor, "")
+	k.gets(frame.Answer, 1, frame.Failed, "")
 	e.hears("cancel")
 	k.quick(2, "2000")
 	e.hears("serve").answer("HIT", "count=1", rowB)
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -22,12 +22,12 @@
 	jobsOverLimit
 	clientGone
 	done
-	throttled
-	cancelledForGood
+	rejected
+	jobsFailed
 	cutByExit
 	answersLate
 	alarmsLate
-	dispatched
+	attempted
 	outcomeDone // eight in the order of logic.Outcome
 	outcomeErrored
 	outcomeTurnedAway
@@ -67,7 +67,7 @@
 
 var counterNames = [counters]string{"clients_accepted", "clients_refused", "clients_evicted", "clients_asked", "clients_misread",
 	"clients_too_slow", "clients_idle", "jobs_taken", "jobs_misread", "jobs_over_limit", "client_gone", "done",
-	"throttled", "cancelled_for_good", "cut_by_exit", "answers_late", "alarms_late", "dispatched", "outcome_done", "outcome_errored",
+	"rejected", "failed", "cut_by_exit", "answers_late", "alarms_late", "attempts", "outcome_done", "outcome_errored",
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "unfit", "pages_read", "faulty_answers", "stray_answers", "notes_unread",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -129,7 +129,7 @@
 	b.onlyHears(e, other, 2)
 }
 
-// TestCancelUnread: the same for a cancel that lies unread. The dispatch waits once, for the reader to come to it.
+// TestCancelUnread: the same for a cancel that lies unread. The attempt waits once, for the reader to come to it.
 func TestCancelUnread(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, `,"may_cancel":false`, e)
@@ -174,10 +174,10 @@
 	_ = c.conn.(*net.TCPConn).SetLinger(0)
 	c.conn.Close()
 	g.waits(t)
-	k.gets(frame.Answer, 1, frame.Throttled, "")
+	k.gets(frame.Answer, 1, frame.Rejected, "")
 	b.c.do(func() {
-		if b.c.counts[dispatched] != 2 || b.c.counts[outcomeNotSent] != 1 {
-			t.Error(b.c.counts[dispatched], "attempts,", b.c.counts[outcomeNotSent], "not sent")
+		if b.c.counts[attempted] != 2 || b.c.counts[outcomeNotSent] != 1 {
+			t.Error(b.c.counts[attempted], "attempts,", b.c.counts[outcomeNotSent], "not sent")
 		}
 	})
 	g.pass <- struct{}{}
@@ -268,16 +268,16 @@
 func TestTurnedAwayAfterBegun(t *testing.T) {
 	for _, word := range []string{"SHED", "LATE"} {
 		e := newStandIn(t, "127.0.0.1:0")
-		b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Types[0].Repeat = logic.RunOnce }, e)
+		b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Types[0].Repeat = logic.NonIdempotent }, e)
 		k := b.client()
 		k.quick(1, "2900")
 		c := e.hears("serve")
 		c.answer("HIT", "count=2", rowA)
 		c.answer(word, "-", "")
-		k.gets(frame.Answer, 1, frame.CancelledFor, "")
+		k.gets(frame.Answer, 1, frame.Failed, "")
 		b.c.do(func() {
-			if b.c.counts[dispatched] != 1 {
-				t.Error(word, b.c.counts[dispatched], "attempts")
+			if b.c.counts[attempted] != 1 {
+				t.Error(word, b.c.counts[attempted], "attempts")
 			}
 		})
 	}
--- a/controller/crossing_close_test.go
+++ b/controller/crossing_close_test.go
@@ -29,7 +29,7 @@
 	k := conn{c, t}
 	k.asks(1, "select 1", "class", "quick", "id", "00000000000000ff", "wait", "2900")
 	k.gets(frame.NoMore, 0, 0, "")
-	k.gets(frame.Answer, 1, frame.Throttled, "")
+	k.gets(frame.Answer, 1, frame.Rejected, "")
 	k.closes()
 }
 
@@ -99,7 +99,7 @@
 			t.Error("goes on behind the end")
 		}
 	})
-	k.gets(frame.Answer, 1, frame.Throttled, "")
+	k.gets(frame.Answer, 1, frame.Rejected, "")
 	b.exits()
 	if b.c.counts[cutByExit] != 0 || b.c.counts[outcomeNotSent] != 0 {
 		t.Error(b.c.counts[cutByExit], "cut,", b.c.counts[outcomeNotSent], "attempts begun that had no time")
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -32,7 +32,7 @@
 	weight   float64
 	since    time.Duration
 	links    []*engineLink
-	waiting  []*dispatch // for a connection
+	waiting  []*attempt // for a connection
 	dials    map[int64]context.CancelFunc
 	heard    time.Duration // when bytes last came, on any connection
 	trip     trip
@@ -62,10 +62,10 @@
 type engineLink struct {
 	*link
 	engine *engine
-	open   map[logic.JobID]*dispatch
-	used   time.Duration // when a dispatch last began or ended
+	open   map[logic.JobID]*attempt
+	used   time.Duration // when an attempt last began or ended
 	heard  time.Duration // when bytes last came
-	mute   int           // dispatches that timed out since
+	mute   int           // attempts that timed out since
 	stale  bool          // takes nothing new
 	gone   bool
 }
@@ -152,13 +152,13 @@
 	}
 }
 
-// send has a dispatch wait for a connection, which is mostly there already.
-func (c *Controller) send(d *dispatch) {
+// send has an attempt wait for a connection, which is mostly there already.
+func (c *Controller) send(d *attempt) {
 	d.engine.waiting = append(d.engine.waiting, d)
 	c.place(d.engine)
 }
 
-// place puts what waits on connections. Each dispatch has one to itself while descriptors last, as one spoilt or
+// place puts what waits on connections. Each attempt has one to itself while descriptors last, as one spoilt or
 // lost answer takes along all that is open on its connection; after that they share, up to the settings' number.
 func (c *Controller) place(e *engine) {
 	crowded := c.links >= c.mostLinks()*3/4
@@ -198,8 +198,8 @@
 	return best
 }
 
-// put queues a dispatch on a connection: the head, the statement as it came, and the end of the line.
-func (c *Controller) put(d *dispatch, l *engineLink) {
+// put queues an attempt on a connection: the head, the statement as it came, and the end of the line.
+func (c *Controller) put(d *attempt, l *engineLink) {
 	j := d.job
 	fields := "class=" + string(j.name) + ",wait=" +
 		strconv.FormatInt(max(int64((d.until-c.now)/time.Millisecond), 1), 10)
@@ -236,11 +236,11 @@
 	l.add(line)
 }
 
-// letGo ends a dispatch on the wire: what is no longer wanted is cancelled, or its pages released.
-func (c *Controller) letGo(d *dispatch) {
+// letGo ends an attempt on the wire: what is no longer wanted is cancelled, or its pages released.
+func (c *Controller) letGo(d *attempt) {
 	j := d.job
 	if d.link == nil {
-		d.engine.waiting = slices.DeleteFunc(d.engine.waiting, func(o *dispatch) bool { return o == d })
+		d.engine.waiting = slices.DeleteFunc(d.engine.waiting, func(o *attempt) bool { return o == d })
 		return
 	}
 	l := d.link
@@ -258,8 +258,8 @@
 	}
 }
 
-// unlist takes a dispatch off its connection.
-func (c *Controller) unlist(d *dispatch) {
+// unlist takes an attempt off its connection.
+func (c *Controller) unlist(d *attempt) {
 	l := d.link
 	delete(l.open, d.job.id)
 	l.used = c.now
@@ -273,7 +273,7 @@
 	}
 }
 
-func (c *Controller) timeOut(d *dispatch) {
+func (c *Controller) timeOut(d *attempt) {
 	if d.job.out != d {
 		return
 	}
@@ -286,8 +286,8 @@
 	c.giveUp(d, logic.TimedOut)
 }
 
-// weigh tells the priority of a dispatch that is out.
-func (c *Controller) weigh(d *dispatch) {
+// weigh tells the priority of an attempt that is out.
+func (c *Controller) weigh(d *attempt) {
 	if d.link != nil {
 		d.link.say("weigh", string(d.job.id), strconv.Itoa(d.job.priority))
 	}
@@ -324,7 +324,7 @@
 			c.do(func() { c.dialed(e, n, nil, err) })
 			return
 		}
-		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*dispatch{}}
+		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*attempt{}}
 		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 			c.do(func() { c.engineClosed(l) })
 			return nil
@@ -520,7 +520,7 @@
 const mostResult, mostPage, mostPages = 48_000, 6_000, 64
 
 // page keeps a page at its place; with the last one the job is done.
-func (c *Controller) page(d *dispatch, n int, body []byte) error {
+func (c *Controller) page(d *attempt, n int, body []byte) error {
 	if !d.begun || n < 0 || n >= len(d.pages) || !isPage(body) || len(body) == 0 && len(d.pages) > 1 {
 		return errPage
 	}
@@ -547,13 +547,13 @@
 		c.counts[done]++
 	}
 	c.answer(d.job, frame.Done, "", "", d.pages...)
-	d.pages = nil // alarms may hold on to the dispatch for seconds
+	d.pages = nil // alarms may hold on to the attempt for seconds
 	c.over(d, logic.Done)
 	return nil
 }
 
 // same tells whether a page came twice the same. Which of two is right can't be told.
-func (d *dispatch) same(n int, body []byte) error {
+func (d *attempt) same(n int, body []byte) error {
 	if !bytes.Equal(d.pages[n], body) {
 		return errSecond
 	}
--- a/controller/host.go
+++ b/controller/host.go
@@ -12,19 +12,19 @@
 // host carries out the module's decisions. All is called under the lock, and none of it calls the module.
 type host struct{ c *Controller }
 
-func (h host) Dispatch(id logic.JobID, to logic.EngineID, timeout, within time.Duration) {
+func (h host) Attempt(id logic.JobID, to logic.EngineID, timeout, within time.Duration) {
 	c, j := h.c, h.c.jobs[id]
 	if j == nil {
 		return
 	}
-	d := &dispatch{job: j, n: j.sent, engine: c.engines[to], sent: c.now,
+	d := &attempt{job: j, n: j.sent, engine: c.engines[to], sent: c.now,
 		until: min(c.now+timeout, j.expires), load: noLoad}
 	d.last = min(c.now+within, d.until)
 	j.sent++
 	j.out = d
-	c.counts[dispatched]++
+	c.counts[attempted]++
 	if c.router != nil {
-		c.router.Dispatched(c.now, route.JobID(id))
+		c.router.Attempted(c.now, route.JobID(id))
 	}
 	if d.engine == nil {
 		d.engine = &engine{id: to}
@@ -61,16 +61,16 @@
 	}
 }
 
-func (h host) Throttle(id logic.JobID, comeBack time.Duration) {
+func (h host) Reject(id logic.JobID, comeBack time.Duration) {
 	if j := h.c.jobs[id]; j != nil {
-		h.c.throttle(j, comeBack)
+		h.c.reject(j, comeBack)
 		h.ended(j)
 	}
 }
 
-func (h host) CancelForGood(id logic.JobID) {
+func (h host) Fail(id logic.JobID) {
 	if j := h.c.jobs[id]; j != nil {
-		h.c.cancelForGood(j)
+		h.c.failJob(j)
 		h.ended(j)
 	}
 }
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -24,13 +24,13 @@
 	priority  int
 	place     logic.Placement // by the operators' routes, or nil
 	sent      int
-	out       *dispatch
-	last      *dispatch     // that was on a connection
+	out       *attempt
+	last      *attempt      // that was on a connection
 	on        []*engineLink // its id is used there no more, as a late answer of one attempt is none of another
 }
 
-// dispatch is one sending of a job, from the module's call until its outcome is told.
-type dispatch struct {
+// attempt is one sending of a job, from the module's call until its outcome is told.
+type attempt struct {
 	job       *job
 	n         int
 	engine    *engine
@@ -57,8 +57,8 @@
 // noLoad is where an engine reported nothing.
 var noLoad = logic.Load{Util: -1, Waiting: -1, MemoryGranted: -1}
 
-// over ends a dispatch that is still out, on the wire and then for the module.
-func (c *Controller) over(d *dispatch, o logic.Outcome) {
+// over ends an attempt that is still out, on the wire and then for the module.
+func (c *Controller) over(d *attempt, o logic.Outcome) {
 	j := d.job
 	if j.out != d {
 		return
@@ -71,16 +71,16 @@
 		c.forget(j)
 	} else if c.router != nil { // before the module, so that it does not send the job on to a pool that went down
 		was := j.place
-		if c.router.DispatchOver(c.now, route.JobID(j.id)); j.place != was {
+		if c.router.AttemptOver(c.now, route.JobID(j.id)); j.place != was {
 			c.logic.Placed(c.now, j.id, j.place, false)
 		}
 	}
-	c.logic.DispatchOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
+	c.logic.AttemptOver(c.now, j.id, d.n, d.engine.id, o, c.now-d.sent, ended, d.work, d.memory, d.load)
 }
 
-// giveUp ends a dispatch that the engine may be at, or one that never left. A connection that takes in nothing
+// giveUp ends an attempt that the engine may be at, or one that never left. A connection that takes in nothing
 // must not send a job on after its answer, so what is still queued is taken back.
-func (c *Controller) giveUp(d *dispatch, o logic.Outcome) {
+func (c *Controller) giveUp(d *attempt, o logic.Outcome) {
 	if d.link != nil && !d.link.gone {
 		d.withdrawn = d.link.withdraw(d.message)
 	}
@@ -93,10 +93,10 @@
 // fenceWait is for the answer of an engine that was told to stop: many trips, and little against a job.
 const fenceWait = 100 * time.Millisecond
 
-// fence guards against two dispatches of a job at once: the word to stop the one before may be slower than the
+// fence guards against two attempts of a job at once: the word to stop the one before may be slower than the
 // next one to a nearer engine. Where probes are allowed, an answer to one that follows that word on the same
 // connection tells that it has arrived; elsewhere, and from a silent engine, a time in which it should have.
-func (c *Controller) fence(before, next *dispatch) {
+func (c *Controller) fence(before, next *attempt) {
 	l, pass := before.link, func() { c.pass(next) }
 	c.at(c.now+fenceWait, pass)
 	switch {
@@ -113,8 +113,8 @@
 	}
 }
 
-// pass sends a dispatch that waited at a fence.
-func (c *Controller) pass(d *dispatch) {
+// pass sends an attempt that waited at a fence.
+func (c *Controller) pass(d *attempt) {
 	if d.fenced && d.job.out == d {
 		d.fenced = false
 		c.send(d)
@@ -135,27 +135,27 @@
 	c.door.Answered(c.now, k.id)
 	if late := c.now - j.expires; j.expires > 0 && late > lateAnswer {
 		c.counts[answersLate]++
-		c.note(slog.LevelWarn, "answer late", "job", j.id, "by", late, "code", code, "dispatches", j.sent)
+		c.note(slog.LevelWarn, "answer late", "job", j.id, "by", late, "code", code, "attempts", j.sent)
 	}
 	k.send(frame.Answer, j.stream, code, field, value, body...)
 }
 
-func (c *Controller) cancelForGood(j *job) {
+func (c *Controller) failJob(j *job) {
 	if j.client != nil {
-		c.counts[cancelledForGood]++
+		c.counts[jobsFailed]++
 	}
-	c.answer(j, frame.CancelledFor, "", "")
+	c.answer(j, frame.Failed, "", "")
 }
 
-func (c *Controller) throttle(j *job, comeBack time.Duration) {
+func (c *Controller) reject(j *job, comeBack time.Duration) {
 	if j.client != nil {
-		c.counts[throttled]++
+		c.counts[rejected]++
 	}
 	field, value := "", ""
 	if comeBack > 0 {
 		field, value = "after", strconv.FormatInt(int64((comeBack+time.Millisecond-1)/time.Millisecond), 10)
 	}
-	c.answer(j, frame.Throttled, field, value)
+	c.answer(j, frame.Rejected, field, value)
 }
 
 // forget drops a job that is over and has nothing out.
@@ -192,8 +192,8 @@
 	})
 }
 
-// takeBack ends a dispatch of which no byte has left; any other goes on.
-func (c *Controller) takeBack(d *dispatch) {
+// takeBack ends an attempt of which no byte has left; any other goes on.
+func (c *Controller) takeBack(d *attempt) {
 	if d.job.out == d && (d.link == nil || d.link.withdraw(d.message)) {
 		d.withdrawn = true
 		c.over(d, logic.NotSent)
@@ -204,9 +204,9 @@
 // client that is gone has to be heard, and little against a job.
 const catchUp, mostBehind = 2 * time.Millisecond, 50 * time.Millisecond
 
-// unsure tells that the client of a dispatch that waited has sent what was not read yet, as the process is behind: it may
+// unsure tells that the client of an attempt that waited has sent what was not read yet, as the process is behind: it may
 // be that the client is gone.
-func (c *Controller) unsure(d *dispatch) bool {
+func (c *Controller) unsure(d *attempt) bool {
 	if d.job.client == nil || c.now == d.job.taken || !d.job.client.unread() {
 		return false
 	}
@@ -216,10 +216,10 @@
 	return c.clock()-d.asked < mostBehind
 }
 
-// fit tells whether a dispatch may still leave. Guards against all that may have ended while it waited for a connection
+// fit tells whether an attempt may still leave. Guards against all that may have ended while it waited for a connection
 // or at a fence: its client, its engine's service, its time; and against a client that has closed its connection and was
 // not heard yet, as the process stood still.
-func (c *Controller) fit(d *dispatch) bool {
+func (c *Controller) fit(d *attempt) bool {
 	k := d.job.client
 	if k != nil && c.now > d.job.taken && k.left() {
 		c.later(func() { c.allGone(k) })
--- a/controller/reload_test.go
+++ b/controller/reload_test.go
@@ -79,7 +79,7 @@
 // TestReloadUnderLoad: 200 reloads while 20,000 jobs pass, among them faulty files, pools that are gone and swapped
 // fallbacks. Each job gets one answer, none goes to a pool that a version took away 2 s before, each is routed by the
 // version that it was taken under, and no version is kept. A job whose version's pools are all gone by two further
-// reloads is throttled at once, as it is nowhere to go.
+// reloads is rejected at once, as it is nowhere to go.
 func TestReloadUnderLoad(t *testing.T) {
 	const reloads, jobs, clients = 200, 20_000, 16
 	engines := []*quickEngine{newQuickEngine(t), newQuickEngine(t), newQuickEngine(t)}
@@ -120,7 +120,7 @@
 				spans[len(spans)-1][1] = now
 			}
 			mu.Unlock()
-			if n%40 == 0 { // long enough that a late dispatch would show
+			if n%40 == 0 { // long enough that a late attempt would show
 				time.Sleep(2200 * time.Millisecond)
 			} else {
 				time.Sleep(10 * time.Millisecond)
@@ -172,7 +172,7 @@
 				answered.Add(1)
 				if body[0] == frame.Done {
 					served.Add(1)
-				} else if body[0] != frame.Throttled {
+				} else if body[0] != frame.Rejected {
 					wrong.Add(1)
 				}
 			}
--- a/controller/routes.go
+++ b/controller/routes.go
@@ -38,7 +38,7 @@
 	}
 	h.c.counts[refusedByRoute]++
 	h.c.note(slog.LevelDebug, "route refuses", "job", id, "why", why, "after", comeBack)
-	h.c.throttle(j, min(comeBack, h.c.cfg.Settings.Logic.MaxComeBack))
+	h.c.reject(j, min(comeBack, h.c.cfg.Settings.Logic.MaxComeBack))
 	h.c.forget(j)
 }
 
--- a/controller/routes_test.go
+++ b/controller/routes_test.go
@@ -104,7 +104,7 @@
 	k.gets(frame.Answer, 3, frame.Done, rowA)
 }
 
-// TestRouteLimits: over a limit, a job is throttled at once with the time to come back.
+// TestRouteLimits: over a limit, a job is rejected at once with the time to come back.
 func TestRouteLimits(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	k := startWith(t, "", withRoutes(t, "[route \"r\"]\npolicy = p\n[policy \"p\"]\nrate = 2/s\nburst = 1\n"), e).client()
@@ -112,7 +112,7 @@
 	e.hears("serve").answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
 	k.job(2, "quick")
-	after, err := strconv.Atoi(k.gets(frame.Answer, 2, frame.Throttled, "")["after"])
+	after, err := strconv.Atoi(k.gets(frame.Answer, 2, frame.Rejected, "")["after"])
 	if err != nil || after < 300 || after > 500 {
 		t.Error("after ", after, err)
 	}
@@ -125,12 +125,12 @@
 // TestRoutesReload: a pool that a later version does not have gets nothing more, also of jobs taken before.
 func TestRoutesReload(t *testing.T) {
 	e0, e1 := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
-	b := startWith(t, "", withRoutes(t, "[route \"r\"]\npool = a\nfallback = b\npolicy = p\n[policy \"p\"]\ndispatched = 1\n"+
+	b := startWith(t, "", withRoutes(t, "[route \"r\"]\npool = a\nfallback = b\npolicy = p\n[policy \"p\"]\nattempted = 1\n"+
 		"[pool \"a\"]\nid = e0\n[pool \"b\"]\nid = e1\n"), e0, e1)
 	k := b.client()
 	k.job(1, "quick")
 	first := e0.hears("serve")
-	k.job(2, "quick") // held, as one is dispatched
+	k.job(2, "quick") // held, as one is attempted
 	b.until(func() bool { return len(b.c.jobs) == 2 })
 	b.takes("[route \"r\"]\npool = b\n[pool \"b\"]\nid = e1\n")
 	first.answer("HIT", "count=1", rowA)
@@ -158,7 +158,7 @@
 	k.job(1, "quick")
 	e0.hears("serve")
 	b.c.do(func() { panic("on purpose") })
-	k.gets(frame.Answer, 1, frame.CancelledFor, "")
+	k.gets(frame.Answer, 1, frame.Failed, "")
 	k.job(2, "load")
 	e1.hears("serve").answer("HIT", "count=1", rowB)
 	k.gets(frame.Answer, 2, frame.Done, rowB)
--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -1,9 +1,9 @@
-// Package limit keeps the amounts that a controller may use by itself: further dispatches (rule 7), work for an engine
+// Package limit keeps the amounts that a controller may use by itself: further attempts (rule 7), work for an engine
 // that has just started (rule 4), and what is within a customer's share. Each controller keeps its own part, with no word
 // from the others, so that all parts together stay within the whole. It does no I/O and asks no clock; times are whole
 // nanoseconds of one clock that only moves forward.
 //
-// Its promises, with equal parts for all controllers: in no window more further dispatches than the settings allow; to a
+// Its promises, with equal parts for all controllers: in no window more further attempts than the settings allow; to a
 // cold engine, over any span of the settings, no more from all controllers together than the share named at coldShare of
 // what makes it fall, as long as no controller has more than one engine's turn at a time.
 package limit
@@ -42,7 +42,7 @@
 	set            Settings
 	many           float64
 	customers      map[CustomerID]*customer
-	taken, further []time.Duration // jobs taken and further dispatches in the window
+	taken, further []time.Duration // jobs taken and further attempts in the window
 }
 
 // New gives the limits of a controller that starts.
@@ -74,7 +74,7 @@
 	return true
 }
 
-// JobTaken earns what further dispatches are allowed for it.
+// JobTaken earns what further attempts are allowed for it.
 func (l *Limits) JobTaken(now time.Duration) {
 	if l.set.BudgetWindow > 0 {
 		l.forget(now)
@@ -82,7 +82,7 @@
 	}
 }
 
-// Repeated spends a further dispatch.
+// Repeated spends a further attempt.
 func (l *Limits) Repeated(now time.Duration) {
 	if l.set.BudgetWindow > 0 {
 		l.further = append(l.further, now)
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -109,7 +109,7 @@
 	})
 }
 
-// TestBudget: in no window more further dispatches than the settings allow, by a count beside it.
+// TestBudget: in no window more further attempts than the settings allow, by a count beside it.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := Settings{BudgetWindow: time.Second, BudgetFree: 2, BudgetShare: 0.2}
@@ -133,7 +133,7 @@
 				l.Repeated(now)
 				further = append(further, now)
 				if n := within(further, now-set.BudgetWindow, now); float64(n) > set.BudgetFree+set.BudgetShare*float64(within(taken, now-set.BudgetWindow, now)) {
-					t.Fatalf("%d further dispatches in the window before %v", n, now)
+					t.Fatalf("%d further attempts in the window before %v", n, now)
 				}
 			}
 		}
--- a/decide/route/explain.go
+++ b/decide/route/explain.go
@@ -68,10 +68,10 @@
 			words = append(words, fmt.Sprintf(format, args...))
 		}
 	}
-	say(p.MostOut > 0, "at most %d dispatched", p.MostOut)
+	say(p.MostOut > 0, "at most %d attempted", p.MostOut)
 	say(p.MostHeld > 0, "at most %d held", p.MostHeld)
 	say(p.Rate > 0, "%g jobs/s", p.Rate)
-	say(p.FurtherSet, "further dispatches %g%% of jobs in %v and %d more", 100*p.FurtherShare, p.FurtherSpan, p.FurtherFree)
+	say(p.FurtherSet, "further attempts %g%% of jobs in %v and %d more", 100*p.FurtherShare, p.FurtherSpan, p.FurtherFree)
 	say(p.FurtherWait > 0, "further ones after %v", p.FurtherWait)
 	say(p.RepeatWindow > 0, "repeats within %v", p.RepeatWindow)
 	say(p.FallbackWait > 0, "fallback after %v", p.FallbackWait.Round(time.Millisecond))
--- a/decide/route/meter.go
+++ b/decide/route/meter.go
@@ -9,7 +9,7 @@
 // meter counts what a route has and had, over all versions that know it by its name, so that a new version neither
 // forgives nor forgets.
 type meter struct {
-	jobs, out int           // open; of them, dispatched
+	jobs, out int           // open; of them, attempted
 	tokens    float64       // of the rate
 	filled    time.Duration // when they were last
 	begun     bool          // ever
@@ -94,8 +94,8 @@
 	m.left = now
 }
 
-// The budget of further dispatches counts by parts of its span. The part at the edge counts against the route:
-// its further dispatches still, its jobs no more.
+// The budget of further attempts counts by parts of its span. The part at the edge counts against the route:
+// its further attempts still, its jobs no more.
 const budgetParts = 16
 
 type span struct {
@@ -112,7 +112,7 @@
 	return s
 }
 
-// further tells whether the route's own budget has room for one more further dispatch.
+// further tells whether the route's own budget has room for one more further attempt.
 func (m *meter) further(now time.Duration, p *Policy) bool {
 	if !p.FurtherSet {
 		return true
--- a/decide/route/plan.go
+++ b/decide/route/plan.go
@@ -62,15 +62,15 @@
 // Policy is what a route keeps to. A limit of zero is off.
 type Policy struct {
 	Name         string
-	MostOut      int     // dispatches at once
+	MostOut      int     // attempts at once
 	MostHeld     int     // jobs held at once
 	Rate         float64 // jobs a second
 	Burst        float64 // jobs that may come at once within the rate; 0: a second's worth, at least 1
-	FurtherSet   bool    // whether further dispatches have a budget of the route's own:
+	FurtherSet   bool    // whether further attempts have a budget of the route's own:
 	FurtherShare float64 // of the jobs taken in FurtherSpan
 	FurtherFree  int     // and as many more
 	FurtherSpan  time.Duration
-	FurtherWait  time.Duration // between the end of a dispatch and the next of the job
+	FurtherWait  time.Duration // between the end of an attempt and the next of the job
 	RepeatWindow time.Duration // in which a job that may have run may go again; 0: the reservation type's
 	FallbackWait time.Duration // a pool must be under its minimum for so long before the fallback takes over
 	ReturnWait   time.Duration // and fit for so long before it is used again
--- a/decide/route/router.go
+++ b/decide/route/router.go
@@ -15,7 +15,7 @@
 	Refuse(job JobID, comeBack time.Duration, why Reason)
 	Move(job JobID, lane *Lane) // of a held job
 	GiveUp(job JobID)           // a held job that no pool will ever take
-	TakeBack(job JobID)         // its dispatch, where it has not left yet
+	TakeBack(job JobID)         // its attempt, where it has not left yet
 	WakeAfter(in time.Duration)
 	Log(line string)
 }
@@ -82,7 +82,7 @@
 		(l.main == nil || len(l.main.pool.members) > 0 || l.extra != nil && len(l.extra.pool.members) > 0)
 }
 
-// Further tells whether a job may go again: first is the time since its first dispatch that may have run (0: none),
+// Further tells whether a job may go again: first is the time since its first attempt that may have run (0: none),
 // over that since the last one ended.
 func (l *Lane) Further(now, first, over time.Duration) bool {
 	p := &l.route.Policy
@@ -543,8 +543,8 @@
 	r.overflow = slices.Insert(r.overflow, at, due)
 }
 
-// Dispatched tells that a job leaves for an engine.
-func (r *Router) Dispatched(now time.Duration, id JobID) {
+// Attempted tells that a job leaves for an engine.
+func (r *Router) Attempted(now time.Duration, id JobID) {
 	r.now = now
 	j := r.jobs[id]
 	if j == nil || j.out {
@@ -559,9 +559,9 @@
 	m.departs(now)
 }
 
-// DispatchOver tells that a job is held again, or over; JobOver follows in that case. It comes before the decision
+// AttemptOver tells that a job is held again, or over; JobOver follows in that case. It comes before the decision
 // module hears of it, so that the job is not sent on to where it was.
-func (r *Router) DispatchOver(now time.Duration, id JobID) {
+func (r *Router) AttemptOver(now time.Duration, id JobID) {
 	r.now = now
 	j := r.jobs[id]
 	if j == nil || !j.out {
--- a/decide/route/router_test.go
+++ b/decide/route/router_test.go
@@ -108,13 +108,13 @@
 
 func (h *bench) send(ids ...JobID) {
 	for _, id := range ids {
-		h.r.Dispatched(h.now, id)
+		h.r.Attempted(h.now, id)
 	}
 }
 
 func (h *bench) back(ids ...JobID) {
 	for _, id := range ids {
-		h.r.DispatchOver(h.now, id)
+		h.r.AttemptOver(h.now, id)
 	}
 }
 
@@ -250,7 +250,7 @@
 	h.kept(t)
 }
 
-// TestFurther: a route's own budget of further dispatches, the wait before one, and the window for repeats.
+// TestFurther: a route's own budget of further attempts, the wait before one, and the window for repeats.
 func TestFurther(t *testing.T) {
 	h := newBench(planWith(func(p *Policy) {
 		p.FurtherSet, p.FurtherShare, p.FurtherFree, p.FurtherSpan = true, 0.1, 1, 10*time.Second
@@ -502,7 +502,7 @@
 			i := 0
 			for b.Loop() {
 				h.r.JobTaken(h.now, "j", &jobs[i%len(jobs)])
-				h.r.Dispatched(h.now, "j")
+				h.r.Attempted(h.now, "j")
 				h.r.JobOver(h.now, "j")
 				i++
 			}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -20,9 +20,9 @@
 
 // The codes of an answer.
 const (
-	Done         = 1
-	Throttled    = 2
-	CancelledFor = 3
+	Done     = 1
+	Rejected = 2
+	Failed   = 3
 )
 
 // The least and most that a frame's length may say.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -59,24 +59,24 @@
 	*i.replies = append(*i.replies, append([]any{name, i.id}, values...))
 }
 
-func (i *instance) Dispatch(job logic.JobID, engine logic.EngineID, timeout, _ time.Duration) {
+func (i *instance) Attempt(job logic.JobID, engine logic.EngineID, timeout, _ time.Duration) {
 	i.say("assign", job, engine, timeout)
 }
 
 func (i *instance) SetTerms(job logic.JobID, memoryMB float64, priority int) {
 	i.say("grant_and_rank", job, priority, memoryMB)
 }
-func (i *instance) Recall(job logic.JobID, dispatch int)         { i.say("recall", job, dispatch) }
-func (i *instance) Throttle(job logic.JobID, wait time.Duration) { i.say("refuse", job, wait) }
-func (i *instance) CancelForGood(job logic.JobID)                { i.say("give_up", job) }
-func (i *instance) WakeAfter(t logic.TimerID, in time.Duration)  { i.say("arm", t, in) }
-func (i *instance) Follow(on bool)                               { i.say("tail", on) }
-func (i *instance) FetchList()                                   { i.say("reload") }
-func (i *instance) Probe(engine logic.EngineID)                  { i.say("sound_out", engine) }
-func (i *instance) CloseIdle(engine logic.EngineID)              { i.say("free_links", engine) }
-func (i *instance) TellPeer(peer logic.PeerID, message string)   { i.say("share", peer, message) }
-func (i *instance) Suspects(logic.EngineID, bool)                {}
-func (i *instance) Log(line string)                              { i.say("print", line) }
+func (i *instance) Recall(job logic.JobID, attempt int)         { i.say("recall", job, attempt) }
+func (i *instance) Reject(job logic.JobID, wait time.Duration)  { i.say("refuse", job, wait) }
+func (i *instance) Fail(job logic.JobID)                        { i.say("give_up", job) }
+func (i *instance) WakeAfter(t logic.TimerID, in time.Duration) { i.say("arm", t, in) }
+func (i *instance) Follow(on bool)                              { i.say("tail", on) }
+func (i *instance) FetchList()                                  { i.say("reload") }
+func (i *instance) Probe(engine logic.EngineID)                 { i.say("sound_out", engine) }
+func (i *instance) CloseIdle(engine logic.EngineID)             { i.say("free_links", engine) }
+func (i *instance) TellPeer(peer logic.PeerID, message string)  { i.say("share", peer, message) }
+func (i *instance) Suspects(logic.EngineID, bool)               {}
+func (i *instance) Log(line string)                             { i.say("print", line) }
 
 // process hosts many instances; they share nothing but the pipe and the numbered lists of the wire.
 type process struct {
@@ -271,7 +271,7 @@
 		took, over, note := f.span(6, "wait_time"), f.flag(7, "complete"), f.int(8, "note")
 		work, memory := time.Duration(note/4096)*time.Millisecond, float64(note%4096)*4
 		load := f.load(9, i.columns)
-		call = func() { i.logic.DispatchOver(now, j, n, e, o, took, over, work, memory, load) }
+		call = func() { i.logic.AttemptOver(now, j, n, e, o, took, over, work, memory, load) }
 	case "whisper":
 		from, message := logic.PeerID(f.int(2, "from")), f.text(3, "blob")
 		call = func() { i.logic.PeerTold(now, from, message) }
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -69,7 +69,7 @@
 	kind     logic.KindName
 	health   logic.Health
 	listed   bool
-	out      int // dispatches of this controller
+	out      int // attempts of this controller
 }
 
 type job struct {
@@ -142,29 +142,29 @@
 			from = append(from, e)
 		}
 	}
-	if len(from) == 0 || j.sent >= max(p.set.MaxDispatches, 1) || now >= j.expires {
+	if len(from) == 0 || j.sent >= max(p.set.MaxAttempts, 1) || now >= j.expires {
 		p.end(id, j)
 		return
 	}
 	j.out = p.pick(p, from)
 	j.sent++
 	j.out.out++
-	p.host.Dispatch(id, j.out.id, j.expires-now, j.expires-now)
+	p.host.Attempt(id, j.out.id, j.expires-now, j.expires-now)
 }
 
 func (p *policy) end(id logic.JobID, j *job) {
 	j.ended = true
-	if j.maybeRan && j.kind.Repeat != logic.Restartable {
-		p.host.CancelForGood(id)
+	if j.maybeRan && j.kind.Repeat != logic.Idempotent {
+		p.host.Fail(id)
 	} else {
-		p.host.Throttle(id, 0)
+		p.host.Reject(id, 0)
 	}
 	if j.out == nil {
 		delete(p.jobs, id)
 	}
 }
 
-func (p *policy) DispatchOver(now time.Duration, id logic.JobID, _ int, _ logic.EngineID, o logic.Outcome, _ time.Duration,
+func (p *policy) AttemptOver(now time.Duration, id logic.JobID, _ int, _ logic.EngineID, o logic.Outcome, _ time.Duration,
 	over bool, _ time.Duration, _ float64, _ logic.Load) {
 	j := p.jobs[id]
 	if j == nil || j.out == nil {
--- a/lab/baseline/broken.go
+++ b/lab/baseline/broken.go
@@ -16,7 +16,7 @@
 var breakers = map[string]func(*logic.Settings){
 	"without-rule-1": func(*logic.Settings) {},
 	"without-rule-2": func(s *logic.Settings) {
-		types(s, func(t *logic.Type) { t.Repeat = logic.Restartable })
+		types(s, func(t *logic.Type) { t.Repeat = logic.Idempotent })
 	},
 	DrainBreaker:     func(*logic.Settings) {},
 	"without-rule-6": func(s *logic.Settings) { types(s, func(t *logic.Type) { t.Locations, t.Kinds = nil, nil }) },
@@ -52,7 +52,7 @@
 // forgetful never tells a client that its job was turned away.
 type forgetful struct{ logic.Host }
 
-func (forgetful) Throttle(logic.JobID, time.Duration) {}
+func (forgetful) Reject(logic.JobID, time.Duration) {}
 
 // careless takes engines that drain for healthy ones.
 type careless struct{ logic.Module }
--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -16,8 +16,8 @@
 	Drained  int `json:"after_drain"`    // rule 3: jobs that came to an engine past the grace after its controller was told
 	Felled   int `json:"felled"`         // rule 4: cold engines that got more than they stand
 	Strayed  int `json:"misplaced"`      // rule 6: jobs at an engine that their type bars
-	Excess   int `json:"over_budget"`    // rule 7: further dispatches beyond the budget
-	Together int `json:"at_once"`        // jobs with two dispatches at engines at once
+	Excess   int `json:"over_budget"`    // rule 7: further attempts beyond the budget
+	Together int `json:"at_once"`        // jobs with two attempts at engines at once
 	Crashes  int `json:"crashes"`        // processes that ended though nothing of ours ended them
 
 	Cold float64 `json:"cold_most"` // the most work that came to a cold engine, over what fells it; no breach by itself
@@ -36,7 +36,7 @@
 	visits []seen
 	struck map[int]bool  // controllers that a fault ended, who begin anew and know nothing
 	slack  time.Duration // by which things are seen late
-	gap    time.Duration // by which a dispatch that was given up may go on at its engine
+	gap    time.Duration // by which an attempt that was given up may go on at its engine
 	budget budget
 	cold   cold
 	length time.Duration // of the window in which a repeat of a keyed job is known
@@ -50,7 +50,7 @@
 	life       int // of its controller
 }
 
-// seen is a dispatch at an engine.
+// seen is an attempt at an engine.
 type seen struct {
 	visit
 	host *host
@@ -126,7 +126,7 @@
 	return false
 }
 
-// excess counts the further dispatches of a controller beyond its budget, with the protocol's width of 15 in 100 and one.
+// excess counts the further attempts of a controller beyond its budget, with the protocol's width of 15 in 100 and one.
 func (e *evidence) excess(further, taken []time.Duration) (n int) {
 	slices.Sort(taken)
 	for at, t := range further {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -318,7 +318,7 @@
 	came := map[string]time.Duration{}
 	proof := evidence{jobs: map[string]*ask{}, hosts: f.hosts, struck: f.struck, slack: f.slack(), budget: theBudget, cold: theCold,
 		length: keyWindow}
-	if f.linked { // the word to stop a dispatch may be held up on its link
+	if f.linked { // the word to stop an attempt may be held up on its link
 		proof.gap = proof.slack
 	}
 	proof.cold.meanJob = meanWork(f.kinds)
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -45,7 +45,7 @@
 	}})
 }
 
-// TestAudit: what the audit calls two dispatches at once.
+// TestAudit: what the audit calls two attempts at once.
 func TestAudit(t *testing.T) {
 	at := func(from, to int) [2]time.Duration {
 		return [2]time.Duration{time.Duration(from), time.Duration(to)}
--- a/lab/fleet/half_test.go
+++ b/lab/fleet/half_test.go
@@ -77,7 +77,7 @@
 
 func (h *half) answered() {
 	h.t.Helper()
-	if payload := h.reads(frame.Answer); payload[0] != frame.Done && payload[0] != frame.Throttled {
+	if payload := h.reads(frame.Answer); payload[0] != frame.Done && payload[0] != frame.Rejected {
 		h.t.Error("code ", payload[0], string(payload))
 	}
 }
--- a/lab/fleet/report/report.go
+++ b/lab/fleet/report/report.go
@@ -161,7 +161,7 @@
 			for _, part := range []struct {
 				jobs  int
 				color string
-			}{{j.InTime, "#7ab87a"}, {j.Late, "#e6cf55"}, {j.Throttled, "#e8954a"}, {j.None, "#c93030"}} {
+			}{{j.InTime, "#7ab87a"}, {j.Late, "#e6cf55"}, {j.Rejected, "#e8954a"}, {j.None, "#c93030"}} {
 				high := part.jobs * height / most
 				y -= high
 				s.Rect(x, y, wide, high, "fill:"+part.color)
--- a/lab/fleet/rules_test.go
+++ b/lab/fleet/rules_test.go
@@ -67,7 +67,7 @@
 			if r.Audit.Broken() {
 				t.Errorf("%+v", r.Audit)
 			}
-			t.Logf("in time %.3f, worst controller %.3f, throttled %.3f", r.Figures.InTime, r.Figures.Worst, r.Figures.Throttled)
+			t.Logf("in time %.3f, worst controller %.3f, rejected %.3f", r.Figures.InTime, r.Figures.Worst, r.Figures.Rejected)
 		})
 	}
 }
--- a/lab/fleet/seen.go
+++ b/lab/fleet/seen.go
@@ -14,7 +14,7 @@
 	"yarrowbarrow/lab/standin/engine"
 )
 
-// visit is a dispatch at an engine, with the job's id, and when it was over there.
+// visit is an attempt at an engine, with the job's id, and when it was over there.
 type visit struct {
 	spread.Visit
 	id   string
@@ -226,9 +226,9 @@
 		return
 	}
 	job.Answered = time.Since(g.fleet.began)
-	job.Done, job.Throttled = said.Code == frame.Done, said.Code == frame.Throttled
+	job.Done, job.Rejected = said.Code == frame.Done, said.Code == frame.Rejected
 	job.InTime = job.Done && said.Took <= a.kind.sla
-	if job.Throttled && g.eager && again < mostAgain {
+	if job.Rejected && g.eager && again < mostAgain {
 		j.ID = fmt.Sprintf("%s%02x%s", j.ID[:8], 0xf0+again, j.ID[10:])
 		next := *a
 		g.open.Add(1)
--- a/lab/fleet/spread/picture.go
+++ b/lab/fleet/spread/picture.go
@@ -14,7 +14,7 @@
 
 // Slice is what became of the jobs of one window.
 type Slice struct {
-	Sent, InTime, Late, Throttled, None int
+	Sent, InTime, Late, Rejected, None int
 }
 
 // Share is how many jobs a controller had, and how many of them were done in time.
@@ -54,8 +54,8 @@
 			c.InTime++
 		case j.Done:
 			s.Late++
-		case j.Throttled:
-			s.Throttled++
+		case j.Rejected:
+			s.Rejected++
 		default:
 			s.None++
 		}
@@ -70,7 +70,7 @@
 	return p
 }
 
-// use adds the time that a dispatch ran to the windows of its engine, as a part of its cores: above 1 jobs share them.
+// use adds the time that an attempt ran to the windows of its engine, as a part of its cores: above 1 jobs share them.
 func (p *Picture) use(r Run, v Visit) {
 	for from := v.Began - r.From; v.Ended > v.Began && from < v.Ended-r.From; {
 		w := int(from / p.Window)
--- a/lab/fleet/spread/spread.go
+++ b/lab/fleet/spread/spread.go
@@ -16,13 +16,13 @@
 	Sent       time.Duration
 	Answered   time.Duration // 0: never
 	Done       bool
-	Throttled  bool
+	Rejected   bool
 	InTime     bool // done within the SLA time
 	Came       time.Duration
 	Reached    bool // an engine read it, first at Came
 }
 
-// Visit is one dispatch as its engine saw it.
+// Visit is one attempt as its engine saw it.
 type Visit struct {
 	Engine int
 	Came   time.Duration
@@ -62,18 +62,18 @@
 // Figures of a run.
 type Figures struct {
 	Windows   []Window `json:"windows"`
-	Herd      float64  `json:"herd"`       // variance over mean of arrivals at an engine in 50 ms, mean of engines; 1 is chance
-	HerdMost  float64  `json:"herd_most"`  // of the worst engine
-	Surge     float64  `json:"surge"`      // most arrivals at an engine in 50 ms over its mean
-	Idle      float64  `json:"idle"`       // engine time with a free core while a job was held, as a share
-	Busy      float64  `json:"busy"`       // core time used, as a share
-	Stranded  float64  `json:"stranded"`   // jobs throttled while an engine had a free core, as a share of jobs
-	Throttled float64  `json:"throttled"`  // as a share of jobs
-	InTime    float64  `json:"in_time"`    // mean of controllers
-	Worst     float64  `json:"worst"`      // in time at the worst controller
-	Lost      int      `json:"lost"`       // jobs without an answer
-	Jobs      int      `json:"jobs"`       // in the span
-	Dispatch  float64  `json:"dispatches"` // a job
+	Herd      float64  `json:"herd"`      // variance over mean of arrivals at an engine in 50 ms, mean of engines; 1 is chance
+	HerdMost  float64  `json:"herd_most"` // of the worst engine
+	Surge     float64  `json:"surge"`     // most arrivals at an engine in 50 ms over its mean
+	Idle      float64  `json:"idle"`      // engine time with a free core while a job was held, as a share
+	Busy      float64  `json:"busy"`      // core time used, as a share
+	Stranded  float64  `json:"stranded"`  // jobs rejected while an engine had a free core, as a share of jobs
+	Rejected  float64  `json:"rejected"`  // as a share of jobs
+	InTime    float64  `json:"in_time"`   // mean of controllers
+	Worst     float64  `json:"worst"`     // in time at the worst controller
+	Lost      int      `json:"lost"`      // jobs without an answer
+	Jobs      int      `json:"jobs"`      // in the span
+	Attempt   float64  `json:"attempts"`  // a job
 	Dials     Peak     `json:"dials"`
 	Probes    Peak     `json:"probes"`
 	FeedCalls Peak     `json:"feed_calls"`
@@ -204,8 +204,8 @@
 		if j.InTime {
 			inTime[j.Controller]++
 		}
-		if j.Throttled {
-			f.Throttled++
+		if j.Rejected {
+			f.Rejected++
 		}
 		if j.Answered == 0 {
 			f.Lost++
@@ -227,12 +227,12 @@
 		f.InTime, f.Worst = stat.Mean(shares, nil), slices.Min(shares)
 	}
 	if f.Jobs > 0 {
-		f.Throttled /= float64(f.Jobs)
-		f.Dispatch = float64(visits) / float64(f.Jobs)
+		f.Rejected /= float64(f.Jobs)
+		f.Attempt = float64(visits) / float64(f.Jobs)
 	}
 }
 
-// change is one step of what goes on: cores of an engine, or jobs held. A throttled job is looked at before the steps
+// change is one step of what goes on: cores of an engine, or jobs held. A rejected job is looked at before the steps
 // of its instant.
 type change struct {
 	at      time.Duration
@@ -257,7 +257,7 @@
 		if from := j.Sent + onTheWay; until > from {
 			steps = append(steps, change{from, -1, 1, false}, change{until, -1, -1, false})
 		}
-		if j.Throttled && r.inside(j.Sent) {
+		if j.Rejected && r.inside(j.Sent) {
 			steps = append(steps, change{j.Answered, -1, 0, true})
 		}
 	}
--- a/lab/fleet/spread/spread_test.go
+++ b/lab/fleet/spread/spread_test.go
@@ -53,7 +53,7 @@
 		Visits: []Visit{{Engine: 0, Came: 0, Began: 1 * ms, Ended: 5 * time.Second}},
 		Jobs: []Job{
 			{Sent: 3*time.Second - onTheWay, Came: 6 * time.Second, Reached: true, Answered: 7 * time.Second, Done: true, InTime: true},
-			{Controller: 1, Sent: 4 * time.Second, Answered: 4*time.Second + ms, Throttled: true},
+			{Controller: 1, Sent: 4 * time.Second, Answered: 4*time.Second + ms, Rejected: true},
 			{Controller: 1, Sent: 9 * time.Second},
 		}}
 	f := Tell(r)
@@ -61,7 +61,7 @@
 	near(t, "idle", f.Idle, (2+2)/20.0, 0.001)
 	near(t, "busy", f.Busy, 5/20.0, 0.001)
 	near(t, "stranded", f.Stranded, 1/3.0, 0.001)
-	near(t, "throttled", f.Throttled, 1/3.0, 0.001)
+	near(t, "rejected", f.Rejected, 1/3.0, 0.001)
 	if f.Lost != 1 || f.Jobs != 3 {
 		t.Error(f)
 	}
--- a/lab/fleet/standstill_test.go
+++ b/lab/fleet/standstill_test.go
@@ -101,7 +101,7 @@
 	err := g.Ask(load.Job{Type: "quick", ID: fmt.Sprintf("%08x%08x", g.name, g.sent), Wait: 10 * time.Second,
 		Statement: "select 1"}, func(a load.Answer, err error) {
 		defer g.open.Done()
-		if err == nil && a.Code != frame.Done && a.Code != frame.Throttled {
+		if err == nil && a.Code != frame.Done && a.Code != frame.Rejected {
 			err = fmt.Errorf("code %d", a.Code)
 		}
 		if err != nil {
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -24,7 +24,7 @@
 
 // Answer is what it is told.
 type Answer struct {
-	Code  byte          // frame.Done, Throttled or CancelledFor
+	Code  byte          // frame.Done, Rejected or Failed
 	After time.Duration // to stay away, or 0
 	Body  string
 	Took  time.Duration
--- a/lab/load/mix.go
+++ b/lab/load/mix.go
@@ -23,8 +23,8 @@
 
 // Count is what became of the jobs of a type.
 type Count struct {
-	Sent, Done, InTime, Throttled, Cancelled, Lost int
-	Took                                           []time.Duration // of those done
+	Sent, Done, InTime, Rejected, Cancelled, Lost int
+	Took                                          []time.Duration // of those done
 }
 
 // Mix sends jobs of several kinds from a seed, over a few connections, at times drawn from an exponential
@@ -110,8 +110,8 @@
 			if a.Took <= kind.SLATime {
 				c.InTime++
 			}
-		case a.Code == frame.Throttled:
-			c.Throttled++
+		case a.Code == frame.Rejected:
+			c.Rejected++
 		default:
 			c.Cancelled++
 		}
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// BenchmarkJob: a job taken, dispatched and done, with others held behind a full fleet.
+// BenchmarkJob: a job taken, attempted and done, with others held behind a full fleet.
 func BenchmarkJob(b *testing.B) {
 	for _, held := range []int{0, 100} {
 		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
@@ -20,7 +20,7 @@
 			for b.Loop() {
 				h.now += 100 * time.Microsecond
 				h.c.JobTaken(h.now, "j", "lookup", "", "", h.now+2*time.Second, 20*ms, 0, 2, false, nil)
-				h.c.DispatchOver(h.now, "j", 0, "a", Done, 20*ms, true, 20*ms, 0, Load{})
+				h.c.AttemptOver(h.now, "j", 0, "a", Done, 20*ms, true, 20*ms, 0, Load{})
 				h.trace.Reset()
 			}
 		})
@@ -42,7 +42,7 @@
 			for b.Loop() {
 				h.now += 10 * time.Millisecond
 				h.c.JobTaken(h.now, "j", "lookup", "", "", h.now+2*time.Second, 20*ms, 0, 2, false, nil)
-				h.c.DispatchOver(h.now, "j", 0, h.c.byID["e000"].id, Done, 20*ms, true, 20*ms, 0, Load{})
+				h.c.AttemptOver(h.now, "j", 0, h.c.byID["e000"].id, Done, 20*ms, true, 20*ms, 0, Load{})
 				h.trace.Reset()
 			}
 		})
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -30,21 +30,21 @@
 	fmt.Fprintf(&h.trace, "%6d ms  %s\n", h.now.Milliseconds()%1000000, fmt.Sprintf(format, args...))
 }
 
-func (h *bench) Dispatch(j JobID, e EngineID, limit, within time.Duration) {
+func (h *bench) Attempt(j JobID, e EngineID, limit, within time.Duration) {
 	begun := ""
 	if within < limit {
 		begun = fmt.Sprintf(", begun within %v", within.Round(ms))
 	}
-	h.say("dispatch %s to %s, at most %v%s", j, e, limit.Round(ms), begun)
+	h.say("attempt %s to %s, at most %v%s", j, e, limit.Round(ms), begun)
 }
 func (h *bench) SetTerms(j JobID, memory float64, p int) {
 	h.say("terms of %s: %.0f MB, %d", j, memory, p)
 }
-func (h *bench) Recall(j JobID, n int) { h.say("recall %s dispatch %d", j, n) }
-func (h *bench) Throttle(j JobID, wait time.Duration) {
-	h.say("throttle %s, back in %v", j, wait.Round(ms))
+func (h *bench) Recall(j JobID, n int) { h.say("recall %s attempt %d", j, n) }
+func (h *bench) Reject(j JobID, wait time.Duration) {
+	h.say("reject %s, back in %v", j, wait.Round(ms))
 }
-func (h *bench) CancelForGood(j JobID)                 { h.say("cancel %s for good", j) }
+func (h *bench) Fail(j JobID)                          { h.say("fail %s", j) }
 func (h *bench) WakeAfter(t TimerID, in time.Duration) { h.timers[t] = h.now + in }
 func (h *bench) Follow(on bool)                        { h.say("follow the list: %v", on) }
 func (h *bench) FetchList()                            { h.say("fetch the list") }
@@ -55,7 +55,7 @@
 func (h *bench) Log(line string)                       { h.say("log: %s", line) }
 
 func (h *bench) start(change func(*Settings)) {
-	s := Settings{Controllers: 1, Location: "here", MayRecall: true, MaxDispatches: 4, Tick: 5 * ms,
+	s := Settings{Controllers: 1, Location: "here", MayRecall: true, MaxAttempts: 4, Tick: 5 * ms,
 		MaxComeBack: time.Second, StartCapacity: 0.25, Cold: 10 * time.Second, FallMultiple: 3,
 		Fall: 2 * time.Second, KeyQuiet: 300 * ms, OverShareValue: 0.2,
 		Kinds: []EngineKind{{Name: "k", Cores: 4, MemoryMB: 8192}},
@@ -66,7 +66,7 @@
 			{Name: "report", SLATime: 2 * time.Second, JobTimeout: 20 * time.Second, Value: 3, LateValue: 0.4,
 				Threads: 4},
 			{Name: "once", SLATime: 2 * time.Second, JobTimeout: 9 * time.Second, Value: 1, LateValue: 0.4,
-				Repeat: RunOnce, Threads: 1},
+				Repeat: NonIdempotent, Threads: 1},
 		}}
 	if change != nil {
 		change(&s)
@@ -113,8 +113,8 @@
 }
 
 func (h *bench) over(id JobID, n int, e EngineID, o Outcome) {
-	h.say("- %s dispatch %d %v", id, n, o)
-	h.c.DispatchOver(h.now, id, n, e, o, 100*ms, o == Done, 0, 0, Load{})
+	h.say("- %s attempt %d %v", id, n, o)
+	h.c.AttemptOver(h.now, id, n, e, o, 100*ms, o == Done, 0, 0, Load{})
 }
 
 // fill leaves an engine no room with one wide job.
--- a/logic/host.go
+++ b/logic/host.go
@@ -22,13 +22,13 @@
 
 // Host carries out decisions. A call takes effect at the time of the event being handled.
 type Host interface {
-	// Dispatch sends a job. Its first byte may leave until within has passed, or it has to be told as NotSent; the engine
+	// Attempt sends a job. Its first byte may leave until within has passed, or it has to be told as NotSent; the engine
 	// has until timeout for the answer.
-	Dispatch(job JobID, engine EngineID, timeout, within time.Duration)
+	Attempt(job JobID, engine EngineID, timeout, within time.Duration)
 	SetTerms(job JobID, memoryMB float64, priority int)
-	Recall(job JobID, dispatch int)
-	Throttle(job JobID, comeBack time.Duration)
-	CancelForGood(job JobID)
+	Recall(job JobID, attempt int)
+	Reject(job JobID, comeBack time.Duration)
+	Fail(job JobID)
 	WakeAfter(timer TimerID, in time.Duration)
 	Follow(on bool)
 	FetchList()
@@ -51,7 +51,7 @@
 	Placed(now time.Duration, id JobID, place Placement, none bool)
 	ClientGone(now time.Duration, id JobID)
 	Leaving(now, last time.Duration) // the process ends: what it has is answered before last
-	DispatchOver(now time.Duration, id JobID, n int, engine EngineID, o Outcome, took time.Duration, over bool,
+	AttemptOver(now time.Duration, id JobID, n int, engine EngineID, o Outcome, took time.Duration, over bool,
 		work time.Duration, memory float64, load Load)
 	TimerDue(now time.Duration, t TimerID)
 	ProbeAnswered(now time.Duration, engine EngineID, o Outcome, took time.Duration, load Load)
@@ -63,7 +63,7 @@
 	Set() any                    // equal for the same set of engines, nil for all
 	Allows(engine EngineID) bool // among its engines
 	Room() bool                  // a job may leave now
-	// Further tells whether a job may go again, by the time since the first of its dispatches that may have run, or
+	// Further tells whether a job may go again, by the time since the first of its attempts that may have run, or
 	// 0, and since the last was over.
 	Further(first, since time.Duration) bool
 }
@@ -72,7 +72,7 @@
 type Limits interface {
 	JobTaken(now time.Duration)
 	Within(now time.Duration, customer CustomerID) bool // its share, of which it takes one job
-	MayRepeat(now time.Duration) bool                   // a further dispatch may leave
+	MayRepeat(now time.Duration) bool                   // a further attempt may leave
 	Repeated(now time.Duration)
 	Engine(cores float64) EngineLimit
 }
@@ -146,9 +146,9 @@
 type Repeat int
 
 const (
-	Restartable Repeat = iota
+	Idempotent Repeat = iota
 	Keyed
-	RunOnce
+	NonIdempotent
 )
 
 // Group names the engines that drop repeats of a keyed job.
@@ -210,7 +210,7 @@
 	PriorityHeeded bool
 	GrantShare     float64
 	OverGrantsPage bool
-	MaxDispatches  int
+	MaxAttempts    int
 	MaxComeBack    time.Duration
 	Tick           time.Duration
 	StartCapacity  float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// dispatch is the state of one sending of a job.
-type dispatch struct {
+// attempt is the state of one sending of a job.
+type attempt struct {
 	engine          *engine
 	location        Location // the engine's then, as is
 	cell            Cell
@@ -33,16 +33,16 @@
 	seq, sent       int
 	level           int           // its turn, when last ranked, as are
 	work, worth     float64       // the thread time it keeps a bound busy, and the value for that
-	taken, d, freed time.Duration // d is the deadline; freed when its last dispatch was over
+	taken, d, freed time.Duration // d is the deadline; freed when its last attempt was over
 	slack           time.Duration
 	cost, memory    float64 // as told, in ns and MB, or 0
 	tables          Tables
-	over            bool        // beyond its customer's share
-	place           Placement   // narrows its engines, or nil
-	set             any         // of those engines, nil for all
-	ended           bool        // its final answer is given, or the client left
-	maybeRan        []*dispatch // dispatches that are out or may have run
-	out             *dispatch
+	over            bool       // beyond its customer's share
+	place           Placement  // narrows its engines, or nil
+	set             any        // of those engines, nil for all
+	ended           bool       // its final answer is given, or the client left
+	maybeRan        []*attempt // attempts that are out or may have run
+	out             *attempt
 }
 
 // row is what differs by reservation type: its settings and what was learned of it.
@@ -87,7 +87,7 @@
 	errors          float64       // share of late
 	full, reported  float64       // memory granted, as last reported, and when in s
 	answered        time.Duration // when an answer last came
-	silent, rank    int           // dispatches that ended without one since; among this controller's homes
+	silent, rank    int           // attempts that ended without one since; among this controller's homes
 	suspected       bool
 	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
@@ -221,7 +221,7 @@
 	c.now = now
 	r := c.byName[name]
 	if r == nil { // not in the settings: promise nothing
-		r = &row{Type: Type{JobTimeout: expires - now, SLATime: expires - now, Repeat: RunOnce, Threads: 1}}
+		r = &row{Type: Type{JobTimeout: expires - now, SLATime: expires - now, Repeat: NonIdempotent, Threads: 1}}
 	}
 	c.seq++
 	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
@@ -321,7 +321,7 @@
 
 func order(a, b *job) int { return cmp.Or(a.level-b.level, cmp.Compare(a.slack, b.slack), a.seq-b.seq) }
 
-// release sends held jobs in order while an engine has room. It is the only way to a dispatch.
+// release sends held jobs in order while an engine has room. It is the only way to an attempt.
 func (c *Controller) release() {
 	if c.now >= c.ranked+c.set.Tick {
 		c.rank()
@@ -436,7 +436,7 @@
 			waits = waits && (e.state != Up || !j.placed(e))
 			continue
 		}
-		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != RunOnce
+		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != NonIdempotent
 		if score := e.dealt - e.threads + c.liking(j, e); score > most && well && e.roomFor(j.row.Threads) {
 			best, most = e, score
 		}
@@ -455,7 +455,7 @@
 	if e.location == c.set.Location {
 		like += 0.5 // crossing costs little, so only near-equals
 	}
-	if slices.ContainsFunc(j.maybeRan, func(d *dispatch) bool { return d.engine == e }) {
+	if slices.ContainsFunc(j.maybeRan, func(d *attempt) bool { return d.engine == e }) {
 		like -= e.cores // it failed or stood still there
 	}
 	for _, o := range e.out {
@@ -466,13 +466,13 @@
 	return like
 }
 
-// The rules' guards follow, each in one place; mayLeave keeps rules 5 and 7 and the number of dispatches.
+// The rules' guards follow, each in one place; mayLeave keeps rules 5 and 7 and the number of attempts.
 func (c *Controller) mayLeave(j *job) bool {
 	// The one that has the turn may go again without the rest.
 	if j.line != nil && (j.line.jobs[0] != j || j.sent == 0 && c.now < j.line.rests) {
 		return false
 	}
-	return (j.place == nil || j.place.Room()) && (j.sent == 0 || j.sent < c.set.MaxDispatches && c.mayRepeat(j))
+	return (j.place == nil || j.place.Room()) && (j.sent == 0 || j.sent < c.set.MaxAttempts && c.mayRepeat(j))
 }
 
 // mayRepeat keeps rule 7, and what the job's placement adds to it.
@@ -492,14 +492,14 @@
 
 func (j *job) placed(e *engine) bool { return j.place == nil || j.place.Allows(e.id) }
 
-// mayGoTo keeps rules 2, 3 and 6 for a dispatch to one engine.
+// mayGoTo keeps rules 2, 3 and 6 for an attempt to one engine.
 func (c *Controller) mayGoTo(j *job, e *engine) bool {
 	if e.state != Up || len(j.row.Locations) > 0 && !slices.Contains(j.row.Locations, e.location) ||
 		len(j.row.Kinds) > 0 && !slices.Contains(j.row.Kinds, e.kind) || !j.placed(e) {
 		return false
 	}
 	for _, ran := range j.maybeRan {
-		if j.row.Repeat == RunOnce || j.row.Repeat == Keyed && (c.now >= c.lastRepeat(j) ||
+		if j.row.Repeat == NonIdempotent || j.row.Repeat == Keyed && (c.now >= c.lastRepeat(j) ||
 			j.row.Group == GroupLocation && ran.location != e.location ||
 			j.row.Group == GroupCell && ran.cell != e.cell) {
 			return false
@@ -532,7 +532,7 @@
 
 func (c *Controller) send(j *job, e *engine) {
 	c.unhold(j)
-	d := &dispatch{engine: e, sent: c.now, expected: c.expect(j), noted: c.now}
+	d := &attempt{engine: e, sent: c.now, expected: c.expect(j), noted: c.now}
 	d.location, d.cell = e.location, e.cell
 	c.terms(j, e)
 	if j.sent > 0 {
@@ -552,7 +552,7 @@
 		until = min(until, c.sla(j)+d.expected/2)
 	}
 	timeout := max(until-c.now, 1)
-	c.host.Dispatch(j.id, e.id, timeout, min(timeout, within))
+	c.host.Attempt(j.id, e.id, timeout, min(timeout, within))
 }
 
 // terms sets memory and priority. Where an overfull memory only counts what is needed, a generous grant costs
@@ -573,7 +573,7 @@
 	c.host.SetTerms(j.id, grant, priority)
 }
 
-func (c *Controller) DispatchOver(now time.Duration, id JobID, n int, eid EngineID, o Outcome,
+func (c *Controller) AttemptOver(now time.Duration, id JobID, n int, eid EngineID, o Outcome,
 	took time.Duration, over bool, work time.Duration, memory float64, load Load) {
 	c.now = now
 	j := c.jobs[id]
@@ -613,11 +613,11 @@
 }
 
 func (c *Controller) couldGo(j *job) bool {
-	return j.sent < c.set.MaxDispatches &&
+	return j.sent < c.set.MaxAttempts &&
 		slices.ContainsFunc(c.engines, func(e *engine) bool { return c.mayGoTo(j, e) })
 }
 
-func (c *Controller) judge(j *job, d *dispatch, o Outcome) {
+func (c *Controller) judge(j *job, d *attempt, o Outcome) {
 	e := d.engine
 	switch o {
 	case Done:
@@ -672,7 +672,7 @@
 // The means of a type span learnOver jobs, seconds of a quick type.
 const mostSlow, fullOver, learnOver = 4, 20, 60
 
-func (c *Controller) learn(j *job, d *dispatch, took, work time.Duration, memory, full float64) {
+func (c *Controller) learn(j *job, d *attempt, took, work time.Duration, memory, full float64) {
 	r := j.row
 	x := float64(took) / j.unitCost()
 	if j.cost > 0 {
@@ -745,17 +745,17 @@
 	}
 }
 
-// end gives the final answer: a throttling reply where it is true that a retry does no harm.
+// end gives the final answer: a rejection where it is true that a retry does no harm.
 func (c *Controller) end(j *job) {
 	c.unhold(j)
 	j.ended = true
-	if j.row.Repeat == Restartable || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
+	if j.row.Repeat == Idempotent || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
 		// The advised wait is the time that the held work takes, and up to as much again, or all come back
 		// together.
 		wait := c.drain(j) * (1 + c.rng.Float64()) * float64(time.Second)
-		c.host.Throttle(j.id, min(c.set.MaxComeBack, time.Duration(wait)))
+		c.host.Reject(j.id, min(c.set.MaxComeBack, time.Duration(wait)))
 	} else {
-		c.host.CancelForGood(j.id)
+		c.host.Fail(j.id)
 	}
 	if j.out == nil {
 		c.forget(j)
@@ -886,7 +886,7 @@
 	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < min(half, j.row.SLATime/2)
 }
 
-// stuck tells that a dispatch is so far past what was expected that a new one should answer sooner.
+// stuck tells that an attempt is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d, e := j.out, j.out.expected
 	if e = min(e, time.Duration(1.5*j.cost/j.row.Threads)); j.cost == 0 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -190,7 +190,7 @@
 				h.after(340 * ms)
 				h.over(id, 0, at, Recalled)
 			}
-			h.c.DispatchOver(h.now, id, 0, "", Done, 20*ms, true, 0, 0, Load{})
+			h.c.AttemptOver(h.now, id, 0, "", Done, 20*ms, true, 0, 0, Load{})
 		}
 	})
 	run(t, "overload_sheds_least_value", func(h *bench) {
@@ -245,7 +245,7 @@
 			for i := range 20 {
 				id := JobID(fmt.Sprint("j", i))
 				h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 100*ms, 0, 1, false, nil)
-				h.c.DispatchOver(h.now, id, 0, "a", Done, 100*ms, true, 0, 0, Load{MemoryGranted: full})
+				h.c.AttemptOver(h.now, id, 0, "a", Done, 100*ms, true, 0, 0, Load{MemoryGranted: full})
 			}
 			seen[full] = h.c.byID["a"].bound > 5
 		}
@@ -259,7 +259,7 @@
 		for i := range 200 { // slow for others' jobs, so that a narrower bound here would not help
 			id := JobID(fmt.Sprint("j", i))
 			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 0, 0, 1, false, nil)
-			h.c.DispatchOver(h.now, id, 0, "a", Done, 800*ms, true, 0, 0, Load{})
+			h.c.AttemptOver(h.now, id, 0, "a", Done, 800*ms, true, 0, 0, Load{})
 		}
 		h.trace.Reset()
 		h.say("bound %.2f of 4 cores with 2 controllers", h.c.byID["a"].bound)
@@ -330,7 +330,7 @@
 		for _, e := range h.c.engines {
 			for len(e.out) > 0 {
 				j := e.out[0]
-				h.c.DispatchOver(h.now, j.id, j.sent-1, e.id, Done, took, true, 100*ms, 0, Load{})
+				h.c.AttemptOver(h.now, j.id, j.sent-1, e.id, Done, took, true, 100*ms, 0, Load{})
 				if len(e.out) > 0 && e.out[0].out.sent == h.now {
 					break // those sent just now are for the next round
 				}
@@ -366,7 +366,7 @@
 			h.c.JobTaken(h.now, id, name, "", "", h.now+5*time.Second, 100*ms, 0, Tables(n), false, nil)
 			h.now += took
 			if j := h.c.jobs[id]; j != nil && j.out != nil {
-				h.c.DispatchOver(h.now, id, 0, j.out.engine.id, Done, took, true, 0, 0, Load{})
+				h.c.AttemptOver(h.now, id, 0, j.out.engine.id, Done, took, true, 0, 0, Load{})
 			}
 			h.c.fleet()
 			return h.c.bound
