--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -567,23 +567,37 @@
 // TestDrainTakesBack: what has not left yet when an engine is to drain goes elsewhere. A long tick keeps it back.
 func TestDrainTakesBack(t *testing.T) {
 	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
-	b := start(t, `},"tick":1000000000,"more":{"none":0`, e)
+	b := start(t, longTick, e)
 	k := b.client()
+	b.queued(e, k)
+	b.list.tell(false, [3]string{"e0", e.ln.Addr().String(), "leaving"}, [3]string{"e1", f.ln.Addr().String(), "active"})
+	b.goesElsewhere(e, f, k)
+}
+
+// longTick keeps what is queued from the writer for a second.
+const longTick = `},"tick":1000000000,"more":{"none":0`
+
+// queued has a second job wait in the writer of an engine's connection, behind one that was answered.
+func (b *bed) queued(e *standIn, k conn) {
+	b.t.Helper()
 	k.quick(1, "2900")
 	e.hears("serve").answer("HIT", "count=1", rowA)
 	b.until(func() bool { return b.c.counts[done] == 1 })
 	k.quick(2, "2900")
 	b.until(func() bool { return len(b.c.jobs) == 1 })
-	b.list.tell(false, [3]string{"e0", e.ln.Addr().String(), "leaving"}, [3]string{"e1", f.ln.Addr().String(), "active"})
-	b.c.do(func() { // at once, as the feed's calls wait a tick too
-		_ = b.c.feed.tell([]byte(b.list.text(1)), func(bool) logic.ListKind { return logic.ListChanges })
-	})
-	f.hears("serve").answer("HIT", "count=1", rowB)
+}
+
+// goesElsewhere takes what the list tells at once, as the feed's calls wait a tick too, and wants what was queued on one
+// engine served by another.
+func (b *bed) goesElsewhere(from, to *standIn, k conn) {
+	b.t.Helper()
+	b.c.do(func() { _ = b.c.feed.tell([]byte(b.list.text(1)), whole) })
+	to.hears("serve").answer("HIT", "count=1", rowB)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
 	k.gets(frame.Answer, 2, frame.Done, rowB)
 	select {
-	case c := <-e.said:
-		t.Error("after the drain: ", c.words)
+	case c := <-from.said:
+		b.t.Error("sent all the same: ", c.words)
 	default:
 	}
 }
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -87,13 +87,9 @@
 // TestGoneWhileQueued: the same for a job whose bytes wait for the writer, which a long tick keeps back.
 func TestGoneWhileQueued(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
-	b := start(t, `,"may_cancel":false},"tick":1000000000,"more":{"none":0`, e)
+	b := start(t, `,"may_cancel":false`+longTick, e)
 	k, other := b.client(), b.client()
-	k.quick(1, "2900")
-	e.hears("serve").answer("HIT", "count=1", rowA)
-	b.until(func() bool { return b.c.counts[done] == 1 })
-	k.quick(2, "2900")
-	b.until(func() bool { return len(b.c.jobs) == 1 })
+	b.queued(e, k)
 	k.Close()
 	b.until(func() bool { return len(b.c.jobs) == 0 && b.c.counts[withdrawn] == 1 })
 	b.onlyHears(e, other, 3)
@@ -242,25 +238,11 @@
 // one.
 func TestReplacedTakesBack(t *testing.T) {
 	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
-	b := start(t, `},"tick":1000000000,"more":{"none":0`, e)
+	b := start(t, longTick, e)
 	k := b.client()
-	k.quick(1, "2900")
-	e.hears("serve").answer("HIT", "count=1", rowA)
-	b.until(func() bool { return b.c.counts[done] == 1 })
-	k.quick(2, "2900")
-	b.until(func() bool { return len(b.c.jobs) == 1 })
+	b.queued(e, k)
 	b.list.tell(false, [3]string{"e0", f.ln.Addr().String(), "active"})
-	b.c.do(func() { // at once, as the feed's calls wait a tick too
-		_ = b.c.feed.tell([]byte(b.list.text(1)), whole)
-	})
-	f.hears("serve").answer("HIT", "count=1", rowB)
-	k.gets(frame.Answer, 1, frame.Done, rowA)
-	k.gets(frame.Answer, 2, frame.Done, rowB)
-	select {
-	case c := <-e.said:
-		t.Error("to the old process: ", c.words)
-	default:
-	}
+	b.goesElsewhere(e, f, k)
 }
 
 // TestTurnedAwayAfterBegun: an answer that it never ran, behind one that it did, proves nothing: a non-idempotent job does
