--- a/controller/crossing_feed_test.go
+++ b/controller/crossing_feed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,11 +79,11 @@
 	b := start(t, "", e)
 	b.client()
 	began := make(chan int, 100)
-	n := 0
+	var dials atomic.Int32
 	b.c.do(func() {
 		b.c.connect = func(ctx context.Context, address netip.AddrPort) (netpoll.Connection, error) {
-			if n++; n > 1 { // dials begin one after the other
-				began <- n
+			if n := dials.Add(1); n > 1 { // dials begin one after the other
+				began <- int(n)
 				return dialTCP(ctx, address)
 			}
 			<-ctx.Done() // as a lost word of the handshake does
--- a/controller/routes_test.go
+++ b/controller/routes_test.go
@@ -125,7 +125,7 @@
 // TestRoutesReload: a pool that a later version does not have gets nothing more, also of jobs taken before.
 func TestRoutesReload(t *testing.T) {
 	e0, e1 := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
-	b := startWith(t, "", withRoutes(t, "[route \"r\"]\npool = a\nfallback = b\npolicy = p\n[policy \"p\"]\nattempted = 1\n"+
+	b := startWith(t, "", withRoutes(t, "[route \"r\"]\npool = a\nfallback = b\npolicy = p\n[policy \"p\"]\ndispatched = 1\n"+
 		"[pool \"a\"]\nid = e0\n[pool \"b\"]\nid = e1\n"), e0, e1)
 	k := b.client()
 	k.job(1, "quick")
