Giving up takes back by the one way there is; one look into the kernel's buffer

Found on reading the whole change again: giveUp took back what had not left by lines of its own beside takeBack, and left wrote unread's look into the kernel again. giveUp calls takeBack, both looks call peek. Behaviour is the same: over passes by an attempt that takeBack has ended, and a lost connection's messages were taken back by lose before either.

Measured: all tests of controller pass with the race detector, their assertions untouched. Left as they are: TestLastMoment and TestWithdrawn make the same bare link, and a waiting attempt costs two looks (fit, unsure) where one could tell both.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -81,13 +81,8 @@
 // giveUp ends an attempt that the engine may be at, or one that never left. A connection that takes in nothing
 // must not send a job on after its answer, so what is still queued is taken back.
 func (c *Controller) giveUp(d *attempt, o logic.Outcome) {
-	if d.link != nil && !d.link.gone {
-		d.withdrawn = d.link.withdraw(d.message)
-	}
-	if d.link == nil || d.withdrawn {
-		o = logic.NotSent
-	}
-	c.over(d, o)
+	c.takeBack(d)
+	c.over(d, o) // which a job that was taken back is past
 }
 
 // fenceWait is for the answer of an engine that was told to stop: many trips, and little against a job.
--- a/controller/link.go
+++ b/controller/link.go
@@ -235,13 +235,19 @@
 // left tells whether the peer has closed the connection, or its side of it, and this process has not noticed yet: with
 // nothing unread before it. A look that the kernel refuses tells nothing.
 func (l *link) left() bool {
+	n, err := l.peek()
+	return err == nil && n == 0 || err == syscall.ECONNRESET
+}
+
+// peek looks into the kernel's buffer without taking anything: one byte, or none where the peer has closed its side.
+func (l *link) peek() (n int, err error) {
 	conn, ok := l.conn.(netpoll.Conn)
 	if !ok {
-		return false
+		return 0, syscall.ENOTSUP
 	}
 	var look [1]byte
-	n, _, err := syscall.Recvfrom(conn.Fd(), look[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == nil && n == 0 || err == syscall.ECONNRESET
+	n, _, err = syscall.Recvfrom(conn.Fd(), look[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
 }
 
 // unread tells whether anything came that has not been taken in: by a read that waits for the lock, in netpoll's
@@ -251,12 +257,7 @@
 	if l.busy.Load() > 0 || l.conn.Reader().Len() > 0 {
 		return true
 	}
-	conn, ok := l.conn.(netpoll.Conn)
-	if !ok {
-		return false
-	}
-	var look [1]byte
-	n, _, err := syscall.Recvfrom(conn.Fd(), look[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := l.peek()
 	return err == nil && n > 0
 }
 
