Jobs for an engine without a connection wait for a descriptor instead of being rejected

Found by reading (docs/design/crossings.md, Left): with all descriptors for engines taken, dial told each attempt as not sent at once, so that a job for another engine used up its attempts in one instant and was rejected, though connections to other engines stood idle. The same where the system itself refuses a descriptor.

Now what waits goes on waiting within its time (deadline, window, drain and a client that leaves end it as before), the connection that has been idle for longest is closed for it, or the next one to become idle, and the engine that waited longest dials first. TestDescriptorsTaken and TestDescriptorsRefused force both; on the code before, the first waits in vain as the job is rejected, the second has 3 attempts and the idle connection still open.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -68,7 +68,9 @@
 	engines   map[logic.EngineID]*engine
 	probes    map[string]*probe
 	fences    map[string]*attempt
-	links     int // connections to engines, dials among them
+	links     int       // connections to engines, dials among them
+	short     []*engine // that wait for a descriptor, in order
+	making    int       // connections that are being closed for them
 	feed      *feed
 	timers    timers
 	timer     *time.Timer
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -264,3 +265,75 @@
 		})
 	}
 }
+
+// TestDescriptorsTaken: all descriptors for engines are taken by a connection to one that drains, as a job has to go to
+// another. While the connection carries a job the next one waits; once it is idle it makes room, and the job is sent.
+func TestDescriptorsTaken(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := startWith(t, "", func(cfg *config.Config) { cfg.Sockets = 50 }, e)
+	if most := b.c.mostLinks(); most != 1 {
+		t.Fatal("room for ", most)
+	}
+	k := b.client()
+	k.quick(1, "2900")
+	first := e.hears("serve")
+	b.list.tell(true, [3]string{"e0", e.ln.Addr().String(), "leaving"}, [3]string{"e1", f.ln.Addr().String(), "active"})
+	b.knows("e1")
+	k.quick(2, "2900")
+	b.until(func() bool { return b.c.counts[linksOverLimit] == 1 })
+	b.c.do(func() {
+		if b.c.links != 1 || len(b.c.jobs) != 2 || b.c.counts[rejected] > 0 {
+			t.Error(b.c.links, "connections,", len(b.c.jobs), "jobs open")
+		}
+	})
+	first.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	f.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+	b.c.do(func() {
+		if b.c.links != 1 || len(b.c.short) > 0 || b.c.making != 0 || b.c.counts[attempted] != 2 {
+			t.Error(b.c.links, "connections,", len(b.c.short), "wait,", b.c.making, "closing,", b.c.counts[attempted], "attempts")
+		}
+	})
+}
+
+// TestDescriptorsRefused: the system refuses a descriptor, though few connections are counted: an idle connection makes room,
+// and with none idle the attempt is known as not sent.
+func TestDescriptorsRefused(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e)
+	k := b.client()
+	k.quick(1, "2900")
+	e.hears("serve").answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	refused := 1
+	b.c.do(func() {
+		b.c.connect = func(_ context.Context, address netip.AddrPort) (netpoll.Connection, error) {
+			if refused--; refused >= 0 {
+				return nil, &net.OpError{Op: "dial", Err: syscall.EMFILE}
+			}
+			return dialTCP(context.Background(), address)
+		}
+	})
+	b.list.tell(true, [3]string{"e0", e.ln.Addr().String(), "leaving"}, [3]string{"e1", f.ln.Addr().String(), "active"})
+	b.knows("e1")
+	k.quick(2, "2900")
+	f.hears("serve").answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 2, frame.Done, rowB)
+	b.c.do(func() {
+		if b.c.counts[attempted] != 2 || len(b.c.engines["e0"].links) != 0 {
+			t.Error(b.c.counts[attempted], "attempts,", len(b.c.engines["e0"].links), "idle connections")
+		}
+	})
+	b.list.tell(true, [3]string{"e1", f.ln.Addr().String(), "leaving"}, [3]string{"e2", e.ln.Addr().String(), "active"})
+	b.knows("e2")
+	b.c.do(func() {
+		for _, l := range b.c.engines["e1"].links { // not idle any more
+			l.open["another"] = &attempt{}
+		}
+		refused = 3
+	})
+	k.quick(3, "2900")
+	k.gets(frame.Answer, 3, frame.Rejected, "")
+	b.c.do(func() { clear(b.c.engines["e1"].links[0].open) })
+}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -68,6 +68,8 @@
 	mute   int           // attempts that timed out since
 	stale  bool          // takes nothing new
 	gone   bool
+
+	makesRoom bool // it is closed so that another engine may have its descriptor
 }
 
 func (l *engineLink) hears() { l.heard, l.engine.heard, l.mute = l.c.now, l.c.now, 0 }
@@ -271,6 +273,9 @@
 	} else if len(l.engine.waiting) > 0 {
 		c.place(l.engine)
 	}
+	if len(l.open) == 0 && len(c.short) > 0 {
+		c.makeRoom()
+	}
 }
 
 func (c *Controller) timeOut(d *attempt) {
@@ -308,8 +313,7 @@
 		return
 	}
 	if c.links >= c.mostLinks() {
-		c.counts[linksOverLimit]++
-		c.refuse(e, logic.NotSent)
+		c.waitForLink(e)
 		return
 	}
 	c.links++
@@ -345,14 +349,16 @@
 		l.end()
 	}
 	if err != nil {
-		c.links--
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		full := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+		if c.linkFreed(); full && c.idlest() != nil {
+			c.waitForLink(e)
+		} else if full {
 			c.counts[linksOverLimit]++
 			c.refuse(e, logic.NotSent)
-			return
+		} else {
+			c.counts[dialsFailed]++
+			c.refuse(e, logic.NoConnection)
 		}
-		c.counts[dialsFailed]++
-		c.refuse(e, logic.NoConnection)
 		return
 	}
 	e.links = append(e.links, l)
@@ -362,13 +368,63 @@
 
 func (c *Controller) engineClosed(l *engineLink) {
 	l.closed()
-	c.links--
+	if l.makesRoom {
+		c.making--
+	}
 	e := l.engine
 	e.links = slices.DeleteFunc(e.links, func(o *engineLink) bool { return o == l })
 	if len(l.open) > 0 {
 		c.counts[linksLost]++
 	}
 	c.lose(l, logic.ConnectionLost)
+	c.linkFreed()
+}
+
+// waitForLink guards jobs against descriptors that are all taken by connections to other engines: what waits for this one
+// goes on waiting, within its time, and the connection that has been idle for longest is closed for it.
+func (c *Controller) waitForLink(e *engine) {
+	if slices.Contains(c.short, e) {
+		return
+	}
+	c.counts[linksOverLimit]++
+	c.short = append(c.short, e)
+	c.makeRoom()
+}
+
+// makeRoom closes so many idle connections as there are engines that wait for one. Where none is idle yet, the next one
+// that carries nothing is.
+func (c *Controller) makeRoom() {
+	for c.making < len(c.short) {
+		l := c.idlest()
+		if l == nil {
+			return
+		}
+		c.making++
+		l.makesRoom, l.stale = true, true
+		l.end()
+	}
+}
+
+// idlest is the connection to an engine that has carried nothing for longest, if any carries nothing.
+func (c *Controller) idlest() (best *engineLink) {
+	for _, id := range sorted(c.engines) {
+		for _, l := range c.engines[id].links {
+			if len(l.open) == 0 && !l.gone && !l.makesRoom && (best == nil || l.used < best.used) {
+				best = l
+			}
+		}
+	}
+	return best
+}
+
+// linkFreed tells that a connection to an engine is over, or did not come up, and lets the engine dial that waited longest.
+func (c *Controller) linkFreed() {
+	c.links--
+	for len(c.short) > 0 && c.links < c.mostLinks() {
+		e := c.short[0]
+		c.short = c.short[1:]
+		c.place(e)
+	}
 }
 
 // lose tells the outcome of all that is open on a connection that serves nothing more.
