Cold engines' limit is tried with engines that read 15 to 60 in 100 of their work

The property test took the same figure for what a core bears as the limit it tries (a thread and a half), so that it could not find a site where less is at the disks. Sites known so far have 0.3 and more.

--- a/decide/limit/cold.go
+++ b/decide/limit/cold.go
@@ -34,7 +34,8 @@
 const coldShare = 0.75
 
 // coldThreads a core are what an engine bears: with half the work on disks, about what keeps 85% of its cores busy, which
-// is what capacity counts.
+// is what capacity counts. How much is on disks is told by nobody; from 15 in 100 on, the room that coldShare leaves covers
+// the difference (TestColdFleet).
 const coldThreads, coldBusy = 1.5, 0.85
 
 // turnWidth is the part of a span that a turn lasts: in any span can begin those turns that begin in it, and those that
--- a/decide/limit/fleet_test.go
+++ b/decide/limit/fleet_test.go
@@ -94,6 +94,8 @@
 			}
 			return 0.1
 		}
+		// What part of the work is at the disks differs by site and is not told: a core that is busy bears 1 over the rest.
+		bears := 1 / (1 - rapid.Float64Range(0.15, 0.6).Draw(t, "at the disks"))
 		rng := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
 		at, work := d.play(t, rng, set)
 		mean := time.Duration(0)
@@ -107,7 +109,7 @@
 				sum += work[n]
 			}
 			capacity := set.StartCapacity + (1-set.StartCapacity)*at[first].Seconds()/set.Cold.Seconds()
-			allowed := set.FallMultiple * capacity * coldBusy * coldThreads * 4 * set.Fall.Seconds() / mean.Seconds()
+			allowed := set.FallMultiple * capacity * coldBusy * bears * 4 * set.Fall.Seconds() / mean.Seconds()
 			if sent := sum.Seconds() / mean.Seconds(); sent > allowed+2*math.Sqrt(allowed)+2 {
 				t.Fatalf("%.1f jobs from %v on, %.1f are allowed (%+v)", sent, at[first], allowed, d)
 			} else {
