--- a/cmd/yarrowbarrow/demo.go
+++ b/cmd/yarrowbarrow/demo.go
@@ -32,10 +32,10 @@
   yarrowbarrow demo --seconds 20 deploy/operator.conf`
 }
 
-// The demo's types. The stand-ins hold 4 jobs each, so that both rooms together are loaded to about a half.
+// The demo's classes. The stand-ins hold 4 jobs each, so that both rooms together are loaded to about a half.
 var demoKinds = []load.Kind{
-	{Type: "lookup", PerSecond: 120, Work: 20 * time.Millisecond, Wait: 4 * time.Second, SLATime: time.Second},
-	{Type: "load", PerSecond: 6, Work: 1200 * time.Millisecond, Wait: 15 * time.Second, SLATime: 5 * time.Second, Told: true, Keyed: true},
+	{Type: "lookup", PerSecond: 120, Work: 20 * time.Millisecond, Wait: 4 * time.Second, LatencyTarget: time.Second},
+	{Type: "load", PerSecond: 6, Work: 1200 * time.Millisecond, Wait: 15 * time.Second, LatencyTarget: 5 * time.Second, Told: true, Keyed: true},
 }
 
 const demoSettings = `{"balancers":1,"rank":0,"zone":"east","tick":5000000,"discovery":"pushed",
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -17,7 +17,7 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n2" || c.Listen != "127.0.0.1:5050" || c.Cores != 1.5 || c.MemoryMB != 192 || c.Sockets != 1024 ||
-		c.Settings.Logic.Types[0].SLATime != 1000 || c.Settings.ConnectTimeout != 250*time.Millisecond {
+		c.Settings.Logic.Classes[0].LatencyTarget != 1000 || c.Settings.ConnectTimeout != 250*time.Millisecond {
 		t.Errorf("%+v", c)
 	}
 }
--- a/config/lang/check.go
+++ b/config/lang/check.go
@@ -14,20 +14,20 @@
 
 // Platform is what the platform's settings say that a file can be checked against.
 type Platform struct {
-	Types     []PlatformType
+	Classes   []PlatformClass
 	Locations []string
 	Kinds     []string
 	Customers []string
 	Fronts    []string
 }
 
-// PlatformType is a reservation type of the platform. Window is how long engines remember what they ran, for keyed
+// PlatformClass is a class of the platform. Window is how long engines remember what they ran, for keyed
 // ones.
-type PlatformType struct {
-	Name                        string
-	SLATime, JobTimeout, Window time.Duration
-	Keyed                       bool
-	Locations, Kinds            []string // of engines that it may go to; none: all
+type PlatformClass struct {
+	Name                            string
+	LatencyTarget, Deadline, Window time.Duration
+	Keyed                           bool
+	Locations, Kinds                []string // of engines that it may go to; none: all
 }
 
 // Config is a configuration that was read and checked.
@@ -469,7 +469,7 @@
 	look("kind", c.platform.Kinds, c.say)
 }
 
-// defaultOverflowAfter is a fifth of a short SLA time: a job that waits for longer is likely to miss it.
+// defaultOverflowAfter is a fifth of a short latency target: a job that waits for longer is likely to miss it.
 const defaultOverflowAfter = 100 * time.Millisecond
 
 // list are a setting's patterns; none where it is absent.
@@ -700,9 +700,9 @@
 }
 
 // against checks a route and what it uses against the platform: names that it does not have, and times that can't
-// hold for a reservation type that the route takes.
+// hold for a class that the route takes.
 func (c *checker) against(s *section, r *route.Route) {
-	for _, t := range c.platform.Types {
+	for _, t := range c.platform.Classes {
 		if !r.Takes(route.Type, t.Name) {
 			continue
 		}
@@ -720,18 +720,18 @@
 				"a shorter time; is the unit meant?", Related{s.at.file.path, s.at.number, fmt.Sprintf("route %q takes %q", s.name, t.Name)})
 		}
 		c.reaches(s, r, &t)
-		limit("further-wait", t.JobTimeout, "the job timeout")
-		limit("fallback-wait", t.SLATime, "the SLA time")
-		limit("overflow-after", t.SLATime, "the SLA time")
+		limit("further-wait", t.Deadline, "the deadline")
+		limit("fallback-wait", t.LatencyTarget, "the latency target")
+		limit("overflow-after", t.LatencyTarget, "the latency target")
 		if t.Keyed {
 			limit("repeat-window", t.Window, "the time that engines remember jobs")
 		}
 	}
 }
 
-// reaches checks that a reservation type can go to some engine of some pool of a route: its own placement holds as well,
+// reaches checks that a class can go to some engine of some pool of a route: its own placement holds as well,
 // and jobs with none in common would only wait until they are refused.
-func (c *checker) reaches(s *section, r *route.Route, t *PlatformType) {
+func (c *checker) reaches(s *section, r *route.Route, t *PlatformClass) {
 	fits := func(patterns []route.Pattern, allowed []string) bool {
 		return len(patterns) == 0 || len(allowed) == 0 || slices.ContainsFunc(allowed, func(name string) bool {
 			return slices.ContainsFunc(patterns, func(p route.Pattern) bool { return p.Matches(name) })
--- a/config/lang/lang_test.go
+++ b/config/lang/lang_test.go
@@ -26,10 +26,10 @@
 
 // testPlatform is what the kept files are checked against.
 var testPlatform = &Platform{
-	Types: []PlatformType{
-		{Name: "lookup", SLATime: time.Second, JobTimeout: 5 * time.Second},
-		{Name: "load", SLATime: 3 * time.Second, JobTimeout: 20 * time.Second, Window: 12 * time.Second, Keyed: true},
-		{Name: "export", SLATime: 5 * time.Second, JobTimeout: 20 * time.Second, Locations: []string{"east"}, Kinds: []string{"big"}},
+	Classes: []PlatformClass{
+		{Name: "lookup", LatencyTarget: time.Second, Deadline: 5 * time.Second},
+		{Name: "load", LatencyTarget: 3 * time.Second, Deadline: 20 * time.Second, Window: 12 * time.Second, Keyed: true},
+		{Name: "export", LatencyTarget: 5 * time.Second, Deadline: 20 * time.Second, Locations: []string{"east"}, Kinds: []string{"big"}},
 	},
 	Locations: []string{"east", "west"}, Kinds: []string{"std", "big"}, Customers: []string{"censo-norte", "inegi"},
 	Fronts: []string{"framed"},
--- a/config/lang/match.go
+++ b/config/lang/match.go
@@ -110,7 +110,7 @@
 	var list []string
 	switch f {
 	case route.Type:
-		for _, t := range c.platform.Types {
+		for _, t := range c.platform.Classes {
 			list = append(list, t.Name)
 		}
 	case route.Customer:
--- a/config/platform.go
+++ b/config/platform.go
@@ -16,8 +16,8 @@
 	s := &c.Settings.Logic
 	p := lang.Platform{Fronts: []string{"framed"}}
 	locations := []logic.Location{s.Location}
-	for _, t := range s.Types {
-		known := lang.PlatformType{Name: string(t.Name), SLATime: t.SLATime, JobTimeout: t.JobTimeout, Window: t.Window,
+	for _, t := range s.Classes {
+		known := lang.PlatformClass{Name: string(t.Name), LatencyTarget: t.LatencyTarget, Deadline: t.Deadline, Window: t.Window,
 			Keyed: t.Repeat == logic.Keyed}
 		for _, l := range t.Locations {
 			known.Locations = append(known.Locations, string(l))
@@ -25,7 +25,7 @@
 		for _, k := range t.Kinds {
 			known.Kinds = append(known.Kinds, string(k))
 		}
-		p.Types = append(p.Types, known)
+		p.Classes = append(p.Classes, known)
 		locations = append(locations, t.Locations...)
 	}
 	for _, e := range c.Engines() {
--- a/config/settings.go
+++ b/config/settings.go
@@ -110,13 +110,13 @@
 			return Settings{}, faulty(fmt.Sprintf("settings.classes[%d].repeat", n), class.Repeat,
 				"retryable, dedup or fragile")
 		}
-		t := logic.Type{Name: logic.TypeName(class.Name), SLATime: class.Aim, SLAStretch: class.AimStretch,
-			JobTimeout: class.Deadline, Value: class.Gain, LateValue: class.LateWorth, Repeat: repeat,
+		t := logic.Class{Name: logic.ClassName(class.Name), LatencyTarget: class.Aim, TargetStretch: class.AimStretch,
+			Deadline: class.Deadline, Value: class.Gain, LateValue: class.LateWorth, Repeat: repeat,
 			Group:  map[string]logic.Group{"zone": logic.GroupLocation, "cell": logic.GroupCell}[class.Group],
 			Window: class.KeyTTL, Ordered: class.ByArrival, Locations: class.AllowedIn,
 			Kinds: class.MachineTypesOpen, Threads: at(c.FamilyInfo.WidthByClass, n, 1),
 			HoldsLoad: at(c.FamilyInfo.HoldsTables, n, false), StandsBy: at(c.FamilyInfo.BlockedByLoads, n, false)}
-		s.Types = append(s.Types, t)
+		s.Classes = append(s.Classes, t)
 	}
 	for n, kind := range c.MachineTypes {
 		s.Kinds = append(s.Kinds, logic.EngineKind{Name: kind, Cores: at(c.FamilyInfo.KindCores, n, 1),
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -19,8 +19,8 @@
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
 			cfg := config.Config{Name: "n", MemoryMB: 192, Sockets: 256, Cores: 1}
 			cfg.Settings.Logic = logic.Settings{Controllers: 1, Location: "east", MaxAttempts: 3, Tick: 5 * time.Millisecond,
-				Kinds: []logic.EngineKind{{Name: "std", Cores: 8}},
-				Types: []logic.Type{{Name: "quick", SLATime: time.Second, JobTimeout: 5 * time.Second, Value: 1, Threads: 1}}}
+				Kinds:   []logic.EngineKind{{Name: "std", Cores: 8}},
+				Classes: []logic.Class{{Name: "quick", LatencyTarget: time.Second, Deadline: 5 * time.Second, Value: 1, Threads: 1}}}
 			c := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 			c.now = c.clock()
 			c.logic = logic.New(benchHost{c}, cfg.Settings.Logic, 1)
--- a/controller/clients.go
+++ b/controller/clients.go
@@ -269,7 +269,7 @@
 
 // check tells what is wrong with a job, if anything: an engine closes a connection, under all its jobs, on what it
 // can't read.
-func (f *fields) check(t *logic.Type, body []byte) error {
+func (f *fields) check(t *logic.Class, body []byte) error {
 	wait, err := strconv.ParseUint(string(f.wait), 10, 32)
 	_, costOK := number(f.cost, mostFigure)
 	_, memoryOK := number(f.memory, mostFigure)
@@ -299,7 +299,7 @@
 	var f fields
 	body, err := f.read(payload)
 	if err == nil {
-		err = f.check(c.typeOf(f.name), body)
+		err = f.check(c.classOf(f.name), body)
 	}
 	if err != nil {
 		return func() {
@@ -315,7 +315,7 @@
 	waitMS, _ := strconv.ParseUint(string(f.wait), 10, 32)
 	costMS, _ := number(f.cost, mostFigure)
 	needMB, _ := number(f.memory, mostFigure)
-	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.TypeName(f.name), once: string(f.once),
+	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.ClassName(f.name), once: string(f.once),
 		statement: append([]byte(nil), body...), priority: 1}
 	tables, customer := statement.Group(string(j.statement)), string(f.customer)
 	return func() {
@@ -366,7 +366,7 @@
 }
 
 // onTheWay comes off a client's wait, which counts from when it sent the job and until it has the answer: time
-// for both ways and for a busy machine. Job timeouts are hundreds of times as long.
+// for both ways and for a busy machine. Deadlines are hundreds of times as long.
 const onTheWay = 25 * time.Millisecond
 
 // streamsPerClient is the protocol's.
@@ -387,9 +387,9 @@
 	return true
 }
 
-// typeOf is the settings' row of a reservation type, if there is one.
-func (c *Controller) typeOf(name []byte) *logic.Type {
-	types := c.cfg.Settings.Logic.Types
+// classOf is the settings' row of a class, if there is one.
+func (c *Controller) classOf(name []byte) *logic.Class {
+	types := c.cfg.Settings.Logic.Classes
 	for n := range types {
 		if string(types[n].Name) == string(name) {
 			return &types[n]
@@ -478,10 +478,10 @@
 		k.sendEmpty(frame.NoMore, 0)
 	}
 	// The platform lets connections and jobs come for 0.6 s after the signal, and kills no sooner than 0.7 s and
-	// the longest job timeout, 3 s at most, after it. A tenth of a second is left for the last bytes to leave.
+	// the longest deadline, 3 s at most, after it. A tenth of a second is left for the last bytes to leave.
 	longest := time.Duration(0)
-	for _, t := range c.cfg.Settings.Logic.Types {
-		longest = max(longest, t.JobTimeout)
+	for _, t := range c.cfg.Settings.Logic.Classes {
+		longest = max(longest, t.Deadline)
 	}
 	first := c.now + 700*time.Millisecond
 	c.exit = door.NewExit(first, first+min(longest, 3*time.Second)-200*time.Millisecond)
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -161,8 +161,8 @@
 func TestWindowPassesWhileDialing(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Settings.Logic.Types[1].Window = 300 * time.Millisecond
-		cfg.Settings.Logic.Types[1].JobTimeout = time.Hour // far behind patience: the window alone has it answered
+		cfg.Settings.Logic.Classes[1].Window = 300 * time.Millisecond
+		cfg.Settings.Logic.Classes[1].Deadline = time.Hour // far behind patience: the window alone has it answered
 	}, e)
 	k := b.client()
 	k.asks(1, "load 1", "class", "load", "id", "0000000000000001", "wait", "3600000", "once", "k")
@@ -251,7 +251,7 @@
 func TestTurnedAwayAfterBegun(t *testing.T) {
 	for _, word := range []string{"SHED", "LATE"} {
 		e := newStandIn(t, "127.0.0.1:0")
-		b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Types[0].Repeat = logic.NonIdempotent }, e)
+		b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Classes[0].Repeat = logic.NonIdempotent }, e)
 		k := b.client()
 		k.quick(1, "2900")
 		c := e.hears("serve")
--- a/controller/crossing_close_test.go
+++ b/controller/crossing_close_test.go
@@ -86,7 +86,7 @@
 func TestLongDeadlineWhileLeaving(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Settings.Logic.Types[0].JobTimeout = 20 * time.Second
+		cfg.Settings.Logic.Classes[0].Deadline = 20 * time.Second
 	}, e)
 	k := b.client()
 	k.quick(1, "20000")
@@ -107,11 +107,11 @@
 }
 
 // TestCutAfterStandstill: a process that leaves stands still past its last moment, with a job out on an engine that hangs. Its
-// deadline and the first round of the end are then due together: the job is answered by its type, and not cut.
+// deadline and the first round of the end are then due together: the job is answered by its class, and not cut.
 func TestCutAfterStandstill(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Settings.Logic.Types[0].JobTimeout = time.Second
+		cfg.Settings.Logic.Classes[0].Deadline = time.Second
 	}, e)
 	k := b.client()
 	k.quick(1, "20000")
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -15,7 +15,7 @@
 	id        logic.JobID
 	client    *client // nil once the job is over
 	stream    uint32
-	name      logic.TypeName
+	name      logic.ClassName
 	once      string
 	statement []byte
 	taken     time.Duration
--- a/decide/door/exit.go
+++ b/decide/door/exit.go
@@ -26,7 +26,7 @@
 // NewExit begins with a first round at a time; what is open at the last moment is cut.
 func NewExit(first, last time.Duration) *Exit { return &Exit{last: last, planned: first, after: -1} }
 
-// beforeCut is from the last deadline of a job to the cut: a few rounds, so that each is answered by what its type allows
+// beforeCut is from the last deadline of a job to the cut: a few rounds, so that each is answered by what its class allows
 // and not just cut, also where a round is late.
 const beforeCut = 50 * time.Millisecond
 
@@ -50,7 +50,7 @@
 		}
 	case now >= x.last && late && !x.passed:
 		// Guards the jobs that were open in a standstill past the last moment: their deadlines are due now, and what came for
-		// them lies unread. One round lets them be answered by what their types allow, as beforeCut does on a machine that
+		// them lies unread. One round lets them be answered by what their classes allow, as beforeCut does on a machine that
 		// keeps up.
 		x.passed = true
 	case now >= x.last:
--- a/decide/route/plan.go
+++ b/decide/route/plan.go
@@ -71,7 +71,7 @@
 	FurtherFree  int     // and as many more
 	FurtherSpan  time.Duration
 	FurtherWait  time.Duration // between the end of an attempt and the next of the job
-	RepeatWindow time.Duration // in which a job that may have run may go again; 0: the reservation type's
+	RepeatWindow time.Duration // in which a job that may have run may go again; 0: the class's
 	FallbackWait time.Duration // a pool must be under its minimum for so long before the fallback takes over
 	ReturnWait   time.Duration // and fit for so long before it is used again
 	ReturnOver   time.Duration // over which its share of new jobs then grows from nothing to all
--- a/decide/tally/tally.go
+++ b/decide/tally/tally.go
@@ -22,7 +22,7 @@
 	"yarrowbarrow/decide/member"
 )
 
-// Key names a figure: what is counted, and of which type, customer or engine.
+// Key names a figure: what is counted, and of which class, customer or engine.
 type Key struct {
 	What byte
 	Of   string
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -244,7 +244,7 @@
 	case "discovery":
 		return p.list(i, now, f)
 	case "new_request":
-		j, t, customer := job(), logic.TypeName(f.text(3, "type")), f.customer(4, "user_group")
+		j, t, customer := job(), logic.ClassName(f.text(3, "type")), f.customer(4, "user_group")
 		key, expires := logic.Key(f.text(5, "order_key")), f.span(6, "expires")
 		cost, memory := f.span(7, "plan_cost"), f.number(8, "need_mb")
 		tables, flags := logic.Tables(f.number(9, "table_group")), f.int(10, "flags")
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -54,8 +54,8 @@
 	}
 	return func(host logic.Host, set logic.Settings, seed int64) logic.Module {
 		p := &policy{host: host, set: set, rng: rand.New(rand.NewSource(seed)), pick: pick, engines: map[logic.EngineID]*engine{},
-			jobs: map[logic.JobID]*job{}, types: map[logic.TypeName]logic.Type{}}
-		for _, t := range set.Types {
+			jobs: map[logic.JobID]*job{}, types: map[logic.ClassName]logic.Class{}}
+		for _, t := range set.Classes {
 			p.types[t.Name] = t
 		}
 		p.turn = p.rng.Intn(1 << 16) // controllers start at different places
@@ -73,7 +73,7 @@
 }
 
 type job struct {
-	kind     logic.Type
+	kind     logic.Class
 	expires  time.Duration
 	place    logic.Placement
 	sent     int
@@ -91,7 +91,7 @@
 	engines map[logic.EngineID]*engine
 	order   []*engine // by id, so that no choice depends on a map
 	jobs    map[logic.JobID]*job
-	types   map[logic.TypeName]logic.Type
+	types   map[logic.ClassName]logic.Class
 	whole   bool
 }
 
@@ -127,9 +127,9 @@
 	})
 }
 
-func (p *policy) JobTaken(now time.Duration, id logic.JobID, name logic.TypeName, _ logic.CustomerID, _ logic.Key,
+func (p *policy) JobTaken(now time.Duration, id logic.JobID, name logic.ClassName, _ logic.CustomerID, _ logic.Key,
 	expires, _ time.Duration, _ float64, _ logic.Tables, _ bool, place logic.Placement) {
-	j := &job{kind: p.types[name], expires: min(expires, now+p.types[name].JobTimeout), place: place}
+	j := &job{kind: p.types[name], expires: min(expires, now+p.types[name].Deadline), place: place}
 	p.jobs[id] = j
 	p.send(now, id, j)
 }
--- a/lab/baseline/broken.go
+++ b/lab/baseline/broken.go
@@ -16,18 +16,18 @@
 var breakers = map[string]func(*logic.Settings){
 	"without-rule-1": func(*logic.Settings) {},
 	"without-rule-2": func(s *logic.Settings) {
-		types(s, func(t *logic.Type) { t.Repeat = logic.Idempotent })
+		classes(s, func(t *logic.Class) { t.Repeat = logic.Idempotent })
 	},
 	DrainBreaker:     func(*logic.Settings) {},
-	"without-rule-6": func(s *logic.Settings) { types(s, func(t *logic.Type) { t.Locations, t.Kinds = nil, nil }) },
+	"without-rule-6": func(s *logic.Settings) { classes(s, func(t *logic.Class) { t.Locations, t.Kinds = nil, nil }) },
 	"without-rule-7": func(s *logic.Settings) { s.BudgetWindow = 0 },
 }
 
-// types changes a copy of the types, as the settings outlive a module.
-func types(s *logic.Settings, change func(*logic.Type)) {
-	s.Types = slices.Clone(s.Types)
-	for n := range s.Types {
-		change(&s.Types[n])
+// classes changes a copy of the classes, as the settings outlive a module.
+func classes(s *logic.Settings, change func(*logic.Class)) {
+	s.Classes = slices.Clone(s.Classes)
+	for n := range s.Classes {
+		change(&s.Classes[n])
 	}
 }
 
--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -15,7 +15,7 @@
 	Repeated int `json:"repeated"`       // rule 2: jobs that went again though they may have run and must not run twice
 	Drained  int `json:"after_drain"`    // rule 3: jobs that came to an engine past the grace after its controller was told
 	Felled   int `json:"felled"`         // rule 4: cold engines that got more than they stand
-	Strayed  int `json:"misplaced"`      // rule 6: jobs at an engine that their type bars
+	Strayed  int `json:"misplaced"`      // rule 6: jobs at an engine that their class bars
 	Excess   int `json:"over_budget"`    // rule 7: further attempts beyond the budget
 	Together int `json:"at_once"`        // jobs with two attempts at engines at once
 	Crashes  int `json:"crashes"`        // processes that ended though nothing of ours ended them
--- a/lab/fleet/spread/spread.go
+++ b/lab/fleet/spread/spread.go
@@ -17,7 +17,7 @@
 	Answered   time.Duration // 0: never
 	Done       bool
 	Rejected   bool
-	InTime     bool // done within the SLA time
+	InTime     bool // done within the latency target
 	Came       time.Duration
 	Reached    bool // an engine read it, first at Came
 }
--- a/lab/fleet/standstill_test.go
+++ b/lab/fleet/standstill_test.go
@@ -37,7 +37,7 @@
 	os.Exit(code)
 }
 
-// The job timeout is short, so that a process that is told to stop has to go 1.5 s later.
+// The deadline is short, so that a process that is told to stop has to go 1.5 s later.
 const shortSettings = `{"balancers":1,"rank":0,"zone":"east","tick":5000000,"discovery":"pushed",
 "classes":[{"name":"quick","aim":500000000,"deadline":1000000000,"gain":1,"late_worth":0.3,"repeat":"retryable"}],
 "machine_types":["std"],"family_info":{"kind_cores":[64],"ram_of_kind_mb":[8192],"width_by_class":[1]},
--- a/lab/load/mix.go
+++ b/lab/load/mix.go
@@ -12,16 +12,16 @@
 
 // Kind is one sort of jobs in a mix.
 type Kind struct {
-	Type      string
-	PerSecond float64
-	Work      time.Duration // mean core time; each job's is drawn between a half and one and a half of it
-	Wait      time.Duration // how long a client waits
-	SLATime   time.Duration
-	Told      bool // whether the cost is told
-	Keyed     bool
+	Type          string
+	PerSecond     float64
+	Work          time.Duration // mean core time; each job's is drawn between a half and one and a half of it
+	Wait          time.Duration // how long a client waits
+	LatencyTarget time.Duration
+	Told          bool // whether the cost is told
+	Keyed         bool
 }
 
-// Count is what became of the jobs of a type.
+// Count is what became of the jobs of a class.
 type Count struct {
 	Sent, Done, InTime, Rejected, Cancelled, Lost int
 	Took                                          []time.Duration // of those done
@@ -107,7 +107,7 @@
 		case a.Code == frame.Done:
 			c.Done++
 			c.Took = append(c.Took, a.Took)
-			if a.Took <= kind.SLATime {
+			if a.Took <= kind.LatencyTarget {
 				c.InTime++
 			}
 		case a.Code == frame.Rejected:
@@ -119,7 +119,7 @@
 	m.open.Done()
 }
 
-// Counts gives a copy of the figures so far, by type.
+// Counts gives a copy of the figures so far, by class.
 func (m *Mix) Counts() map[string]Count {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -59,13 +59,13 @@
 		MaxComeBack: time.Second, StartCapacity: 0.25, Cold: 10 * time.Second, FallMultiple: 3,
 		Fall: 2 * time.Second, KeyQuiet: 300 * ms, OverShareValue: 0.2,
 		Kinds: []EngineKind{{Name: "k", Cores: 4, MemoryMB: 8192}},
-		Types: []Type{
-			{Name: "lookup", SLATime: time.Second, JobTimeout: 5 * time.Second, Value: 1, Threads: 1, StandsBy: true},
-			{Name: "load", SLATime: 3 * time.Second, JobTimeout: 20 * time.Second, Value: 4, LateValue: 0.5,
+		Classes: []Class{
+			{Name: "lookup", LatencyTarget: time.Second, Deadline: 5 * time.Second, Value: 1, Threads: 1, StandsBy: true},
+			{Name: "load", LatencyTarget: 3 * time.Second, Deadline: 20 * time.Second, Value: 4, LateValue: 0.5,
 				Repeat: Keyed, Window: 4 * time.Second, Ordered: true, Threads: 2, HoldsLoad: true},
-			{Name: "report", SLATime: 2 * time.Second, JobTimeout: 20 * time.Second, Value: 3, LateValue: 0.4,
+			{Name: "report", LatencyTarget: 2 * time.Second, Deadline: 20 * time.Second, Value: 3, LateValue: 0.4,
 				Threads: 4},
-			{Name: "once", SLATime: 2 * time.Second, JobTimeout: 9 * time.Second, Value: 1, LateValue: 0.4,
+			{Name: "once", LatencyTarget: 2 * time.Second, Deadline: 9 * time.Second, Value: 1, LateValue: 0.4,
 				Repeat: NonIdempotent, Threads: 1},
 		}}
 	if change != nil {
@@ -107,7 +107,7 @@
 	h.c.ListEnds(h.now)
 }
 
-func (h *bench) take(id JobID, name TypeName, key Key, left time.Duration) {
+func (h *bench) take(id JobID, name ClassName, key Key, left time.Duration) {
 	h.say("- %s taken (%s)", id, name)
 	h.c.JobTaken(h.now, id, name, "", key, h.now+left, 0, 0, 1, false, nil)
 }
@@ -127,7 +127,7 @@
 func (h *bench) learn(e EngineID, n int) {
 	trace := h.trace.String()
 	for i := range n {
-		for _, name := range []TypeName{"lookup", "report"} {
+		for _, name := range []ClassName{"lookup", "report"} {
 			id := JobID(fmt.Sprint("learn", name, i))
 			h.take(id, name, "", 5*time.Second)
 			h.over(id, 0, e, Done)
--- a/logic/host.go
+++ b/logic/host.go
@@ -9,7 +9,7 @@
 type (
 	JobID      string
 	EngineID   string
-	TypeName   string
+	ClassName  string
 	CustomerID string
 	Location   string
 	KindName   string
@@ -46,7 +46,7 @@
 	EngineListed(now time.Duration, id EngineID, location Location, kind KindName, cell Cell, health Health,
 		weight float64, since time.Duration)
 	ListEnds(now time.Duration)
-	JobTaken(now time.Duration, id JobID, name TypeName, customer CustomerID, key Key, expires, cost time.Duration,
+	JobTaken(now time.Duration, id JobID, name ClassName, customer CustomerID, key Key, expires, cost time.Duration,
 		memory float64, tables Tables, repeat bool, place Placement)
 	Placed(now time.Duration, id JobID, place Placement, none bool)
 	ClientGone(now time.Duration, id JobID)
@@ -165,23 +165,23 @@
 	Util, Waiting, MemoryGranted float64
 }
 
-// Type is the settings' row of a reservation type.
-type Type struct {
-	Name       TypeName
-	SLATime    time.Duration
-	SLAStretch float64
-	JobTimeout time.Duration
-	Value      float64
-	LateValue  float64
-	Repeat     Repeat
-	Group      Group
-	Window     time.Duration
-	Ordered    bool
-	Locations  []Location
-	Kinds      []KindName
-	Threads    float64
-	HoldsLoad  bool
-	StandsBy   bool
+// Class is the settings' row of a class.
+type Class struct {
+	Name          ClassName
+	LatencyTarget time.Duration
+	TargetStretch float64
+	Deadline      time.Duration
+	Value         float64
+	LateValue     float64
+	Repeat        Repeat
+	Group         Group
+	Window        time.Duration
+	Ordered       bool
+	Locations     []Location
+	Kinds         []KindName
+	Threads       float64
+	HoldsLoad     bool
+	StandsBy      bool
 }
 
 type EngineKind struct {
@@ -200,7 +200,7 @@
 	Controllers    int
 	Number         int // of this controller, from 0
 	Location       Location
-	Types          []Type
+	Classes        []Class
 	Kinds          []EngineKind
 	Customers      []Customer // for the limits, as the budget and the figures of cold engines
 	OverShareValue float64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 // job is the state of a job until it is over and nothing of it is out.
 type job struct {
 	id              JobID
-	row             *row
+	class           *class
 	line            *line
 	seq, sent       int
 	level           int           // its turn, when last ranked, as are
@@ -45,9 +45,9 @@
 	out             *attempt
 }
 
-// row is what differs by reservation type: its settings and what was learned of it.
-type row struct {
-	Type
+// class has the settings of a class and what was learned of it.
+type class struct {
+	Class
 	unit   mean    // latency per told cost, or latency where no cost is told
 	best   float64 // least unit, slowly forgotten
 	bestAt time.Duration
@@ -99,7 +99,7 @@
 	set                    Settings
 	rng                    *rand.Rand
 	now                    time.Duration
-	byName                 map[TypeName]*row
+	byName                 map[ClassName]*class
 	limits                 Limits
 	engines                []*engine // by id, so that no order depends on a map
 	byID                   map[EngineID]*engine
@@ -110,8 +110,8 @@
 	lines                  map[Key]*line
 	seq                    int
 	ticking, whole, common bool          // whole: the list being read is; common: most are suspected
-	widest                 float64       // threads of the widest type
-	shortest               time.Duration // least SLA time
+	widest                 float64       // threads of the widest class
+	shortest               time.Duration // least latency target
 	many                   float64       // controllers
 	up, cores, cold        float64       // engines that take jobs, their cores, and those of them that are cold
 	homes, entire          float64       // engines that the bounds are dealt out to; all bounds
@@ -129,12 +129,12 @@
 
 func New(host Host, settings Settings, seed int64) *Controller {
 	c := &Controller{host: host, set: settings, rng: rand.New(rand.NewSource(seed)),
-		byName: map[TypeName]*row{}, limits: settings.Limits, byID: map[EngineID]*engine{},
+		byName: map[ClassName]*class{}, limits: settings.Limits, byID: map[EngineID]*engine{},
 		jobs: map[JobID]*job{}, lines: map[Key]*line{}, shortest: math.MaxInt64,
 		many: math.Max(1, float64(settings.Controllers))}
-	for _, t := range settings.Types {
-		c.byName[t.Name] = &row{Type: t}
-		c.widest, c.shortest = math.Max(c.widest, t.Threads), min(c.shortest, t.SLATime)
+	for _, t := range settings.Classes {
+		c.byName[t.Name] = &class{Class: t}
+		c.widest, c.shortest = math.Max(c.widest, t.Threads), min(c.shortest, t.LatencyTarget)
 	}
 	return c
 }
@@ -217,16 +217,17 @@
 	e.bound = e.cores * startThreads / (1 + c.many)
 }
 
-func (c *Controller) JobTaken(now time.Duration, id JobID, name TypeName, cust CustomerID, key Key,
+func (c *Controller) JobTaken(now time.Duration, id JobID, name ClassName, cust CustomerID, key Key,
 	expires, cost time.Duration, memory float64, tables Tables, repeat bool, place Placement) {
 	c.now = now
 	r := c.byName[name]
 	if r == nil { // not in the settings: promise nothing
-		r = &row{Type: Type{JobTimeout: expires - now, SLATime: expires - now, Repeat: NonIdempotent, Threads: 1}}
+		left := expires - now
+		r = &class{Class: Class{Deadline: left, LatencyTarget: left, Repeat: NonIdempotent, Threads: 1}}
 	}
 	c.seq++
-	j := &job{id: id, row: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
-		d: min(now+r.JobTimeout, expires)}
+	j := &job{id: id, class: r, seq: c.seq, taken: now, cost: float64(cost), memory: memory, tables: tables,
+		d: min(now+r.Deadline, expires)}
 	j.goesIn(place)
 	c.jobs[id] = j
 	c.limits.JobTaken(now)
@@ -248,21 +249,21 @@
 	c.ticking = true
 }
 
-// expect is E: told cost times learned latency per cost, or mean latency; the SLA time before either.
+// expect is E: told cost times learned latency per cost, or mean latency; the latency target before either.
 func (c *Controller) expect(j *job) time.Duration {
-	if j.row.unit.n == 0 {
-		return j.row.SLATime
+	if j.class.unit.n == 0 {
+		return j.class.LatencyTarget
 	}
 	// A learned time must never refuse every job, or no outcome would correct it.
-	return min(time.Duration(j.row.unit.value*j.unitCost()), j.row.JobTimeout)
+	return min(time.Duration(j.class.unit.value*j.unitCost()), j.class.Deadline)
 }
 
-func (j *job) unitCost() float64 { return cmp.Or(j.cost/j.row.Threads, 1) }
+func (j *job) unitCost() float64 { return cmp.Or(j.cost/j.class.Threads, 1) }
 
-// sla is when the answer stops earning its full value.
-func (c *Controller) sla(j *job) time.Duration {
-	work := cmp.Or(j.cost, j.row.best*j.row.Threads)
-	return j.taken + j.row.SLATime + time.Duration(j.row.SLAStretch*work/j.row.Threads)
+// target is when the answer stops earning its full value.
+func (c *Controller) target(j *job) time.Duration {
+	work := cmp.Or(j.cost, j.class.best*j.class.Threads)
+	return j.taken + j.class.LatencyTarget + time.Duration(j.class.TargetStretch*work/j.class.Threads)
 }
 
 func (c *Controller) hold(j *job) {
@@ -282,8 +283,8 @@
 // weigh works out what order, drain and shedding rest on. A job behind one of its key, or with no room where
 // it may go, adds no work.
 func (c *Controller) weigh(j *job) {
-	work := float64(c.expect(j)) * j.row.Threads
-	j.level, j.work, j.worth = c.turn(j), work, j.row.Value/(work+1)
+	work := float64(c.expect(j)) * j.class.Threads
+	j.level, j.work, j.worth = c.turn(j), work, j.class.Value/(work+1)
 	if j.over {
 		j.worth *= c.set.OverShareValue
 	}
@@ -307,14 +308,14 @@
 }
 
 // turn tells the level at which a held job leaves; within a level the least slack goes first.
-// Exceptions to plain slack: a job about to miss its SLA time goes first, as types of a long timeout would
-// wait until they are worthless; one beyond its customer's share or too late for its SLA time goes last.
+// Exceptions to plain slack: a job about to miss its latency target goes first, as classes of a long deadline
+// would wait until they are worthless; one beyond its customer's share or too late for its target goes last.
 func (c *Controller) turn(j *job) int {
-	left := c.sla(j) - c.now - c.expect(j)
+	left := c.target(j) - c.now - c.expect(j)
 	switch {
 	case j.over || left < -c.expect(j)/2:
 		return 2
-	case left < j.row.SLATime/4:
+	case left < j.class.LatencyTarget/4:
 		return 0
 	}
 	return 1
@@ -329,12 +330,12 @@
 	}
 	for c.fleet(); len(c.held) > 0 && (c.cold > 0 || c.roomFor(1)); c.fleet() {
 		var to *engine
-		var barred []*job // from all engines, so that no other of their type and set of engines is tried
+		var barred []*job // from all engines, so that no other of their class and set of engines is tried
 		var full []any    // sets that a job before waits for
 		coldOnly := false // a job before waits for the others
 		at := slices.IndexFunc(c.held, func(j *job) (waits bool) {
 			fresh := j.line == nil && j.sent == 0
-			like := func(o *job) bool { return o.row == j.row && o.set == j.set }
+			like := func(o *job) bool { return o.class == j.class && o.set == j.set }
 			if fresh && slices.ContainsFunc(barred, like) || j.set != nil && slices.Contains(full, j.set) {
 				return false
 			}
@@ -342,7 +343,7 @@
 				return true
 			} else if fresh && !waits && (j.place == nil || j.place.Room()) {
 				barred = append(barred, j)
-			} else if waits && j.set != nil && c.roomFor(j.row.Threads) {
+			} else if waits && j.set != nil && c.roomFor(j.class.Threads) {
 				full, waits = append(full, j.set), false // others' engines may have room
 			}
 			coldOnly = coldOnly || waits
@@ -393,7 +394,7 @@
 	}
 	return c.threads+threads/2 <= c.bound+math.Max(c.credit, 0) ||
 		!slices.ContainsFunc(c.engines, func(e *engine) bool {
-			return slices.ContainsFunc(e.out, func(j *job) bool { return j.row.Threads <= threads })
+			return slices.ContainsFunc(e.out, func(j *job) bool { return j.class.Threads <= threads })
 		})
 }
 
@@ -424,7 +425,7 @@
 		return nil, false
 	}
 	most := math.Inf(-1)
-	if coldOnly = coldOnly || !c.roomFor(j.row.Threads); coldOnly && c.cold == 0 {
+	if coldOnly = coldOnly || !c.roomFor(j.class.Threads); coldOnly && c.cold == 0 {
 		return nil, true
 	}
 	waits = true
@@ -437,8 +438,8 @@
 			waits = waits && (e.state != Up || !j.placed(e))
 			continue
 		}
-		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.row.Repeat != NonIdempotent
-		if score := e.dealt - e.threads + c.liking(j, e); score > most && well && e.roomFor(j.row.Threads) {
+		well := !e.suspected || c.common || c.now >= e.trial && len(e.out) == 0 && j.class.Repeat != NonIdempotent
+		if score := e.dealt - e.threads + c.liking(j, e); score > most && well && e.roomFor(j.class.Threads) {
 			best, most = e, score
 		}
 	}
@@ -460,7 +461,7 @@
 		like -= e.cores // it failed or stood still there
 	}
 	for _, o := range e.out {
-		if o.row.HoldsLoad && o.tables == j.tables && (j.row.StandsBy || j.row.HoldsLoad) {
+		if o.class.HoldsLoad && o.tables == j.tables && (j.class.StandsBy || j.class.HoldsLoad) {
 			like -= e.cores // it would stand still there
 		}
 	}
@@ -495,14 +496,14 @@
 
 // mayGoTo keeps rules 2, 3 and 6 for an attempt to one engine.
 func (c *Controller) mayGoTo(j *job, e *engine) bool {
-	if e.state != Up || len(j.row.Locations) > 0 && !slices.Contains(j.row.Locations, e.location) ||
-		len(j.row.Kinds) > 0 && !slices.Contains(j.row.Kinds, e.kind) || !j.placed(e) {
+	if e.state != Up || len(j.class.Locations) > 0 && !slices.Contains(j.class.Locations, e.location) ||
+		len(j.class.Kinds) > 0 && !slices.Contains(j.class.Kinds, e.kind) || !j.placed(e) {
 		return false
 	}
 	for _, ran := range j.maybeRan {
-		if j.row.Repeat == NonIdempotent || j.row.Repeat == Keyed && (c.now >= c.lastRepeat(j) ||
-			j.row.Group == GroupLocation && ran.location != e.location ||
-			j.row.Group == GroupCell && ran.cell != e.cell) {
+		if j.class.Repeat == NonIdempotent || j.class.Repeat == Keyed && (c.now >= c.lastRepeat(j) ||
+			j.class.Group == GroupLocation && ran.location != e.location ||
+			j.class.Group == GroupCell && ran.cell != e.cell) {
 			return false
 		}
 	}
@@ -512,10 +513,10 @@
 // lastRepeat is when a job that may have run may go again no more: a tick inside the window of the earliest
 // time, as the clock only moves by ticks.
 func (c *Controller) lastRepeat(j *job) time.Duration {
-	if j.row.Repeat != Keyed || len(j.maybeRan) == 0 {
+	if j.class.Repeat != Keyed || len(j.maybeRan) == 0 {
 		return math.MaxInt64
 	}
-	return j.maybeRan[0].sent + j.row.Window - c.set.Tick
+	return j.maybeRan[0].sent + j.class.Window - c.set.Tick
 }
 
 // share is the part of all controllers that have an engine for a home, by its cores, none where this one has
@@ -528,7 +529,7 @@
 }
 
 func (c *Controller) usualWork(j *job) time.Duration {
-	return time.Duration(cmp.Or(j.row.work.value, float64(j.row.SLATime)*j.row.Threads))
+	return time.Duration(cmp.Or(j.class.work.value, float64(j.class.LatencyTarget)*j.class.Threads))
 }
 
 func (c *Controller) send(j *job, e *engine) {
@@ -544,13 +545,13 @@
 	within := c.lastRepeat(j) - c.now
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
-	e.threads += j.row.Threads
+	e.threads += j.class.Threads
 	e.limit.Sent(c.now, c.usualWork(j), c.share(e))
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
-	if j.row.LateValue == 0 {
+	if j.class.LateValue == 0 {
 		// A late answer earns nothing: an engine with too much to do is spared it.
-		until = min(until, c.sla(j)+d.expected/2)
+		until = min(until, c.target(j)+d.expected/2)
 	}
 	timeout := max(until-c.now, 1)
 	c.host.Attempt(j.id, e.id, timeout, min(timeout, within))
@@ -562,7 +563,7 @@
 	if j.memory <= 0 || !c.set.GrantsCount {
 		return
 	}
-	grant := j.memory * cmp.Or(j.row.memory.value, 1) * 1.25
+	grant := j.memory * cmp.Or(j.class.memory.value, 1) * 1.25
 	if c.set.OverGrantsPage {
 		grant *= 1.28
 	}
@@ -584,7 +585,7 @@
 	d, e := j.out, j.out.engine
 	j.out, j.freed = nil, now
 	e.out = without(e.out, j)
-	e.threads -= j.row.Threads
+	e.threads -= j.class.Threads
 	if o == TurnedAway || o == NoConnection || o == NotSent { // proves that it never ran
 		j.maybeRan = j.maybeRan[:len(j.maybeRan)-1]
 	}
@@ -670,11 +671,11 @@
 const underOver, someUnder, farUnder = 40, 0.05, 0.65
 
 // One bad plan or wait behind a load shrinks no bound; memory granted spans about a bound's worth of answers.
-// The means of a type span learnOver jobs, seconds of a quick type.
+// The means of a class span learnOver jobs, seconds of a quick class.
 const mostSlow, fullOver, learnOver = 4, 20, 60
 
 func (c *Controller) learn(j *job, d *attempt, took, work time.Duration, memory, full float64) {
-	r := j.row
+	r := j.class
 	x := float64(took) / j.unitCost()
 	if j.cost > 0 {
 		under := 0.0
@@ -739,14 +740,14 @@
 			return 0
 		}
 		// about a thread for each bound's worth of answers
-		return p * math.Min(j.row.Threads/math.Max(bound, 1)/bound, 0.25)
+		return p * math.Min(j.class.Threads/math.Max(bound, 1)/bound, 0.25)
 	}
 	slow = math.Max(slow, math.Min(target*full/1.25, mostSlow))
 	e.slow.Answered(c.now, slow)
 	c.slow.add(slow, 10)
 	c.fleet()
-	e.bound *= 1 + push(e.slow.Slow(c.now), e.bound, e.threads+j.row.Threads+1 >= e.dealt)
-	all := 1 + push(slowAll*c.slow.value, c.bound, c.threads+j.row.Threads/2 >= c.bound)
+	e.bound *= 1 + push(e.slow.Slow(c.now), e.bound, e.threads+j.class.Threads+1 >= e.dealt)
+	all := 1 + push(slowAll*c.slow.value, c.bound, c.threads+j.class.Threads/2 >= c.bound)
 	until := most + (wide-most)*math.Max(0, math.Min(1, (1.3-c.slow.value)/0.3))
 	for _, e := range c.engines {
 		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), until*e.cores*2/(1+c.many))
@@ -757,7 +758,8 @@
 func (c *Controller) end(j *job) {
 	c.unhold(j)
 	j.ended = true
-	if j.row.Repeat == Idempotent || len(j.maybeRan) == 0 || j.row.Repeat == Keyed && j.row.Group == GroupAll {
+	r := j.class
+	if r.Repeat == Idempotent || len(j.maybeRan) == 0 || r.Repeat == Keyed && r.Group == GroupAll {
 		// The advised wait is the time that the held work takes, and up to as much again, or all come back
 		// together.
 		wait := c.drain(j) * (1 + c.rng.Float64()) * float64(time.Second)
@@ -843,7 +845,7 @@
 }
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
-// leaves in useful time, half the shortest SLA time (all of it left more late).
+// leaves in useful time, half the shortest latency target (all of it left more late).
 func (c *Controller) shed(like *job) {
 	for len(c.held) > 1 && c.drain(like) > c.shortest.Seconds()/2 {
 		var worst *job
@@ -871,7 +873,7 @@
 	// One that may have run and can go nowhere any more, as its key's window has ended or its group has left, is
 	// answered at once too.
 	for _, j := range slices.Clone(c.held) {
-		if c.hopeless(j) || j.row.Repeat == Keyed && len(j.maybeRan) > 0 && !c.couldGo(j) {
+		if c.hopeless(j) || j.class.Repeat == Keyed && len(j.maybeRan) > 0 && !c.couldGo(j) {
 			c.end(j)
 		}
 	}
@@ -888,17 +890,17 @@
 	}
 }
 
-// hopeless is the design's refusal; where a late answer earns nothing, the SLA time stands for the deadline.
+// hopeless is the design's refusal; where a late answer earns nothing, the target stands for the deadline.
 func (c *Controller) hopeless(j *job) bool {
 	half := max(c.expect(j)/2, 2*sweepEvery)
-	return j.d-c.now < half || j.row.LateValue == 0 && c.sla(j)-c.now < min(half, j.row.SLATime/2)
+	return j.d-c.now < half || j.class.LateValue == 0 && c.target(j)-c.now < min(half, j.class.LatencyTarget/2)
 }
 
 // stuck tells that an attempt is so far past what was expected that a new one should answer sooner.
 func (c *Controller) stuck(j *job) bool {
 	d, e := j.out, j.out.expected
-	if e = min(e, time.Duration(1.5*j.cost/j.row.Threads)); j.cost == 0 {
-		e = max(d.expected, j.row.SLATime) // a mean is no estimate; told costs do not swell in congestion
+	if e = min(e, time.Duration(1.5*j.cost/j.class.Threads)); j.cost == 0 {
+		e = max(d.expected, j.class.LatencyTarget) // a mean is no estimate; told costs do not swell in congestion
 	}
 	switch {
 	case j.d-c.now < e:
@@ -906,7 +908,8 @@
 	case d.share > 0.02:
 		return float64(d.noted-d.sent)*(1-d.share)/d.share-float64(c.now-d.noted) > 4*float64(e)
 	}
-	return c.now-d.sent > 3*e+min(300*time.Millisecond, c.shortest*3/5) // of a short SLA time some must be left
+	// Of a short latency target some must be left.
+	return c.now-d.sent > 3*e+min(300*time.Millisecond, c.shortest*3/5)
 }
 
 func (c *Controller) Noted(now time.Duration, id JobID, n int, eid EngineID, topic Topic, level float64) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -55,7 +55,7 @@
 		h.over("held", 0, "a", TimedOut)
 	})
 	run(t, "rule2_window_ends_while_held", func(h *bench) { // no room till then: it is answered as it can't go any more
-		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.start(func(s *Settings) { s.Classes[1].Group = GroupCell })
 		h.up("a")
 		h.take("j", "load", "", 20*time.Second)
 		h.fill("a", 0)
@@ -65,7 +65,7 @@
 		h.after(5 * time.Second)
 	})
 	run(t, "rule2_cell_moves", func(h *bench) { // what may have run is known where it ran, not where the engine is now
-		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.start(func(s *Settings) { s.Classes[1].Group = GroupCell })
 		h.up("a")
 		h.take("j", "load", "", 20*time.Second)
 		h.c.ListBegins(h.now, ListChanges)
@@ -84,7 +84,7 @@
 		h.over("ran", 0, "b", Errored)
 	})
 	run(t, "rule2_keyed_window", func(h *bench) {
-		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.start(func(s *Settings) { s.Classes[1].Group = GroupCell })
 		h.up("a")
 		h.take("inside", "load", "", 20*time.Second)
 		h.over("inside", 0, "a", ConnectionLost)
@@ -124,7 +124,7 @@
 		h.after(200 * ms)
 	})
 	run(t, "rule6_placement", func(h *bench) {
-		h.start(func(s *Settings) { s.Types[0].Locations = []Location{"there"} })
+		h.start(func(s *Settings) { s.Classes[0].Locations = []Location{"there"} })
 		h.up("a", "b")
 		h.take("j", "lookup", "", 5*time.Second)
 		h.after(1200 * ms)
@@ -184,7 +184,7 @@
 		h.over("j", 0, "a", Recalled)
 	})
 	run(t, "short_sla_time_leaves_some_for_another_engine", func(h *bench) {
-		h.start(func(s *Settings) { s.Types[0].SLATime = 400 * ms })
+		h.start(func(s *Settings) { s.Classes[0].LatencyTarget = 400 * ms })
 		h.up("a", "b")
 		for _, id := range []JobID{"known", "1", "2", "3", "4"} {
 			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+3*time.Second, 20*ms, 0, 1, false, nil)
@@ -362,7 +362,7 @@
 		h.start(func(s *Settings) { s.Controllers = 10 })
 		h.up("a", "b")
 		n := 0
-		answered := func(name TypeName, took time.Duration) float64 {
+		answered := func(name ClassName, took time.Duration) float64 {
 			n++
 			id := JobID(fmt.Sprint("j", n))
 			h.c.JobTaken(h.now, id, name, "", "", h.now+5*time.Second, 100*ms, 0, Tables(n), false, nil)
--- a/logic/place_test.go
+++ b/logic/place_test.go
@@ -19,7 +19,7 @@
 func (p *pool) Room() bool                              { return !p.shut }
 func (p *pool) Further(first, since time.Duration) bool { return !p.once }
 
-func (h *bench) takeIn(id JobID, name TypeName, left time.Duration, p *pool) {
+func (h *bench) takeIn(id JobID, name ClassName, left time.Duration, p *pool) {
 	h.say("- %s taken (%s)", id, name)
 	h.c.JobTaken(h.now, id, name, "", "", h.now+left, 0, 0, 1, false, p)
 }
@@ -82,7 +82,7 @@
 	})
 	// Rule 2 goes before any placement: what may have run in one cell is not sent to another, and not sat on.
 	run(t, "placement_never_widens_rule2", func(h *bench) {
-		h.start(func(s *Settings) { s.Types[1].Group = GroupCell })
+		h.start(func(s *Settings) { s.Classes[1].Group = GroupCell })
 		h.up("a", "bb")
 		h.takeIn("j", "load", 20*time.Second, &pool{engines: []EngineID{"a"}})
 		h.over("j", 0, "a", Errored)
