--- a/cmd/yarrowbarrow/demo.go
+++ b/cmd/yarrowbarrow/demo.go
@@ -14,8 +14,8 @@
 	"yarrowbarrow/config/lang"
 	"yarrowbarrow/controller"
 	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/discovery"
 	"yarrowbarrow/lab/standin/engine"
-	"yarrowbarrow/lab/standin/feed"
 )
 
 type demoCommand struct {
@@ -25,7 +25,7 @@
 }
 
 func (demoCommand) Help() string {
-	return `Starts two stand-in engines in each of two rooms and a feed in this process, serves with the file, and plays a mixed
+	return `Starts two stand-in engines in each of two rooms and discovery in this process, serves with the file, and plays a mixed
 load in which an engine of the east dies, half of the time later its room is lost, and both come back cold.
 
   yarrowbarrow demo
@@ -48,16 +48,16 @@
 
 // demoRoom is what the demo plays with.
 type demoRoom struct {
-	out     *output
-	feed    *feed.Feed
-	names   []string
-	engines map[string]*engine.Engine
-	began   time.Time
+	out       *output
+	discovery *discovery.Discovery
+	names     []string
+	engines   map[string]*engine.Engine
+	began     time.Time
 }
 
-func (d *demoRoom) host(name, health string, born int64) feed.Host {
+func (d *demoRoom) host(name, health string, born int64) discovery.Host {
 	site, _, _ := strings.Cut(name, "-")
-	return feed.Host{Host: name, Dial: d.engines[name].Address(), Site: site, Class: "std", Health: health, Born: born}
+	return discovery.Host{Host: name, Dial: d.engines[name].Address(), Site: site, Class: "std", Health: health, Born: born}
 }
 
 func (d *demoRoom) event(format string, args ...any) { fmt.Fprintf(d.out, "** "+format+"\n", args...) }
@@ -68,9 +68,9 @@
 	}
 }
 
-// lists tells the feed of engines that are gone, or of ones that start anew.
+// lists tells discovery of engines that are gone, or of ones that start anew.
 func (d *demoRoom) lists(health string, names ...string) {
-	var hosts []feed.Host
+	var hosts []discovery.Host
 	for _, name := range names {
 		born := int64(0)
 		if health == "active" {
@@ -82,7 +82,7 @@
 		}
 		hosts = append(hosts, d.host(name, health, born))
 	}
-	d.feed.Tell(false, hosts...)
+	d.discovery.Tell(false, hosts...)
 }
 
 func (c *demoCommand) Run(log *slog.Logger, out *output) error {
@@ -90,26 +90,26 @@
 	d := &demoRoom{out: out, names: []string{"east-1", "east-2", "west-1", "west-2"}, engines: map[string]*engine.Engine{},
 		began: time.Now()}
 	var err error
-	if d.feed, err = feed.Start("127.0.0.1:0"); err != nil {
+	if d.discovery, err = discovery.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
-	defer d.feed.Close()
-	var hosts []feed.Host
+	defer d.discovery.Close()
+	var hosts []discovery.Host
 	for _, name := range d.names {
 		if d.engines[name], err = engine.Start("127.0.0.1:0", engine.Options{Cores: 4, Cold: 5 * time.Second}); err != nil {
 			return err
 		}
 		hosts = append(hosts, d.host(name, "active", 0))
 	}
-	d.feed.Tell(true, hosts...)
+	d.discovery.Tell(true, hosts...)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	address := free.Addr().String()
 	_ = free.Close()
-	raw, _ := json.Marshal(map[string]any{"name": "demo", "listen": address, "feed": d.feed.Address(), "seed": "1",
-		"known": d.feed.Since(0), "settings": json.RawMessage(demoSettings)})
+	raw, _ := json.Marshal(map[string]any{"name": "demo", "listen": address, "feed": d.discovery.Address(), "seed": "1",
+		"known": d.discovery.Since(0), "settings": json.RawMessage(demoSettings)})
 	cfg, err := config.Read(raw, "", "")
 	if err != nil {
 		return err
--- a/cmd/yarrowbarrow/fleet.go
+++ b/cmd/yarrowbarrow/fleet.go
@@ -117,7 +117,7 @@
 }
 
 func (fleetCommand) Help() string {
-	return `Starts so many controllers as processes of their own between stand-in engines and a feed on loopback addresses, plays
+	return `Starts so many controllers as processes of their own between stand-in engines and discovery on loopback addresses, plays
 uneven load, and tells how evenly the engines were used, by what engines and clients saw. A fault is given as
 stop:0.3@5s/3s: what, the share of all it strikes, when, and for how long.
   yarrowbarrow fleet
@@ -227,8 +227,8 @@
 	add("attempts a job", "%.2f", func(r fleet.Result) float64 { return r.Figures.Attempt })
 	add("dials", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.Dials.Total) })
 	add("most a second over the mean", "%.1f", func(r fleet.Result) float64 { return r.Figures.Dials.Most })
-	add("feed calls", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.FeedCalls.Total) })
-	add("most a second over the mean", "%.1f", func(r fleet.Result) float64 { return r.Figures.FeedCalls.Most })
+	add("discovery calls", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.DiscoveryCalls.Total) })
+	add("most a second over the mean", "%.1f", func(r fleet.Result) float64 { return r.Figures.DiscoveryCalls.Most })
 	add("processor, % of a core", "%.1f", func(r fleet.Result) float64 { return 100 * r.CPU })
 	add("memory, MB", "%.1f", func(r fleet.Result) float64 { return r.Memory })
 	add("jobs", "%.0f", func(r fleet.Result) float64 { return float64(r.Figures.Jobs) })
@@ -396,8 +396,8 @@
 				return 0
 			}
 			fmt.Fprintf(w, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\t%.1f\t%d\t%.1f\t%s\n", p.Day, p.Policy, at(1), at(2), f.Herd,
-				f.HerdMost, 100*f.Idle, 100*f.Rejected, 100*f.InTime, 100*f.Worst, f.Dials.Total, f.Dials.Most, f.FeedCalls.Total,
-				f.FeedCalls.Most, rules)
+				f.HerdMost, 100*f.Idle, 100*f.Rejected, 100*f.InTime, 100*f.Worst, f.Dials.Total, f.Dials.Most, f.DiscoveryCalls.Total,
+				f.DiscoveryCalls.Most, rules)
 		}
 		err = w.Flush()
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -19,15 +19,15 @@
 
 // Config is all that a controller is told at its start.
 type Config struct {
-	Name     string
-	Listen   string // where clients connect
-	Feed     string // where the list of engines comes from
-	Known    json.RawMessage
-	Seed     int64
-	Cores    float64
-	MemoryMB int64
-	Sockets  int // file descriptors
-	Settings Settings
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // where the list of engines comes from
+	Known     json.RawMessage
+	Seed      int64
+	Cores     float64
+	MemoryMB  int64
+	Sockets   int // file descriptors
+	Settings  Settings
 	// The operators' routes, of their file; nil without one.
 	Plan     *route.Plan
 	Fleet    *lang.Fleet   // whom this instance talks to; nil: to nobody
@@ -64,9 +64,10 @@
 	// What a small machine of ours has, where nothing is said.
 	c := Config{Cores: 1, MemoryMB: 192, Sockets: 1024}
 	var file struct {
-		Name, Listen, Feed, Seed string
-		Known, Settings          json.RawMessage
-		Limits                   struct {
+		Name, Listen, Seed string
+		Discovery          string `json:"feed"`
+		Known, Settings    json.RawMessage
+		Limits             struct {
 			Cores    *float64
 			MemoryMB *int64 `json:"memory_mb"`
 			Sockets  *int
@@ -75,7 +76,7 @@
 	if err := decode("", raw, &file); err != nil {
 		return c, err
 	}
-	c.Name, c.Listen, c.Feed, c.Known = file.Name, file.Listen, file.Feed, file.Known
+	c.Name, c.Listen, c.Discovery, c.Known = file.Name, file.Listen, file.Discovery, file.Known
 	override(&c.Name, name)
 	override(&c.Listen, listen)
 	set(&c.Cores, file.Limits.Cores)
@@ -87,7 +88,7 @@
 		return c, faulty("settings", "", "an object")
 	}
 	if len(c.Known) == 0 {
-		return c, faulty("known", "", "the events of the control feed up to now")
+		return c, faulty("known", "", "the events of discovery up to now")
 	}
 	var err error
 	if c.Settings, err = ReadSettings(file.Settings); err != nil {
@@ -97,7 +98,7 @@
 	return c, errors.Join(
 		check(c.Name != "", "name", c.Name, "a name"),
 		check(isAddress(c.Listen), "listen", c.Listen, "an address such as 127.0.0.1:5050"),
-		check(isAddress(c.Feed), "feed", c.Feed, "an address such as 127.0.0.1:7070"),
+		check(isAddress(c.Discovery), "feed", c.Discovery, "an address such as 127.0.0.1:7070"),
 		check(seedErr == nil, "seed", file.Seed, "up to 16 hex digits"),
 		check(c.Cores > 0 && c.Cores <= 1024, "limits.cores", c.Cores, "above 0 to 1024"),
 		check(c.MemoryMB >= 32, "limits.memory_mb", c.MemoryMB, "32 or more"),
@@ -110,7 +111,7 @@
 }
 
 // Differs names the keys whose values differ in another configuration and that a running controller can't take
-// over. The feed it can; the seed and what is known are of a start.
+// over. Discovery it can; the seed and what is known are of a start.
 func (c Config) Differs(next Config) (keys []string) {
 	for key, differs := range map[string]bool{
 		"name": c.Name != next.Name, "listen": c.Listen != next.Listen, "limits.cores": c.Cores != next.Cores,
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -12,7 +12,7 @@
 	"yarrowbarrow/logic"
 )
 
-// BenchmarkJobTaken: what a job costs from the door to its attempt and its end, without sockets: with no operators'
+// BenchmarkJobTaken: what a job costs from admission to its attempt and its end, without sockets: with no operators'
 // file, with 10 and with 1,000 routes. Compare runs with benchstat -col /routes.
 func BenchmarkJobTaken(b *testing.B) {
 	for _, routes := range []int{0, 10, 1000} {
--- a/controller/clients.go
+++ b/controller/clients.go
@@ -12,7 +12,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
-	"yarrowbarrow/decide/door"
+	"yarrowbarrow/decide/admission"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/statement"
 	"yarrowbarrow/logic"
@@ -21,7 +21,7 @@
 // client is a connection from a client.
 type client struct {
 	*link
-	id     door.ConnID
+	id     admission.ConnID
 	jobs   map[uint32]*job // open, by stream
 	last   uint32          // highest stream so far
 	gone   bool
@@ -43,7 +43,7 @@
 	k := &client{jobs: map[uint32]*job{}}
 	c.do(func() {
 		c.connected++
-		if k.id = c.connected; c.phase == Stopped || !c.door.Came(c.now, k.id) {
+		if k.id = c.connected; c.phase == Stopped || !c.admission.Came(c.now, k.id) {
 			c.counts[clientsRefused]++
 			c.turnAway(k, conn)
 			return
@@ -80,25 +80,25 @@
 	c.at(c.now+lingers, k.end)
 }
 
-// doorHost carries out what the door decides about clients' connections.
-type doorHost struct{ c *Controller }
+// admissionHost carries out what admission decides about clients' connections.
+type admissionHost struct{ c *Controller }
 
-func (h doorHost) State(id door.ConnID) door.State {
+func (h admissionHost) State(id admission.ConnID) admission.State {
 	k := h.c.clients[id]
-	return door.State{Jobs: len(k.jobs), Unsent: k.backlog() > 0, Half: k.halfSince(h.c.now)}
+	return admission.State{Jobs: len(k.jobs), Unsent: k.backlog() > 0, Half: k.halfSince(h.c.now)}
 }
 
-func (h doorHost) Unread(id door.ConnID) bool { return h.c.clients[id].unread() }
+func (h admissionHost) Unread(id admission.ConnID) bool { return h.c.clients[id].unread() }
 
-func (h doorHost) AskToLeave(id door.ConnID) {
+func (h admissionHost) AskToLeave(id admission.ConnID) {
 	c, k := h.c, h.c.clients[id]
 	c.counts[clientsAsked]++
 	k.sendEmpty(frame.NoMore, 0)
-	k.then(func() { c.door.Told(c.now, id) })
+	k.then(func() { c.admission.Told(c.now, id) })
 }
 
-func (h doorHost) End(id door.ConnID, why door.Why) {
-	if why == door.ForNewcomer {
+func (h admissionHost) End(id admission.ConnID, why admission.Why) {
+	if why == admission.ForNewcomer {
 		h.c.counts[clientsEvicted]++
 	} else {
 		h.c.counts[clientsIdle]++
@@ -106,7 +106,7 @@
 	h.c.part(h.c.clients[id])
 }
 
-func (h doorHost) Misread(id door.ConnID) { h.c.misread(h.c.clients[id], errHalf) }
+func (h admissionHost) Misread(id admission.ConnID) { h.c.misread(h.c.clients[id], errHalf) }
 
 // part ends a connection on which nothing is owed. What is read on it from now on is not taken: its client sends it again.
 func (c *Controller) part(k *client) {
@@ -125,7 +125,7 @@
 
 func (c *Controller) forgetClient(k *client) {
 	delete(c.clients, k.id)
-	c.door.Went(k.id)
+	c.admission.Went(k.id)
 }
 
 func (c *Controller) clientClosed(k *client) {
@@ -174,7 +174,7 @@
 			})
 		case frame.Ready:
 			calls = append(calls, func() {
-				c.door.Front(c.now, k.id)
+				c.admission.Front(c.now, k.id)
 				code := byte(1)
 				if c.phase != Ready {
 					code = 2
@@ -227,7 +227,7 @@
 }
 
 // heard keeps a connection from being idle.
-func (k *client) heard() { k.c.door.Heard(k.c.now, k.id) }
+func (k *client) heard() { k.c.admission.Heard(k.c.now, k.id) }
 
 // fields of a job, as they came.
 type fields struct{ name, id, wait, once, cost, memory, customer []byte }
@@ -484,7 +484,7 @@
 		longest = max(longest, t.Deadline)
 	}
 	first := c.now + 700*time.Millisecond
-	c.exit = door.NewExit(first, first+min(longest, 3*time.Second)-200*time.Millisecond)
+	c.exit = admission.NewExit(first, first+min(longest, 3*time.Second)-200*time.Millisecond)
 	c.at(first, c.leave)
 	last := c.exit.Last()
 	// Nothing is sent on that can't be answered before the end.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller carries out the decisions of package logic on real sockets: it takes jobs from clients,
-// sends them to engines, follows the control feed, and answers each job exactly once.
+// sends them to engines, follows discovery, and answers each job exactly once.
 //
 // One lock guards the module, the job table and the clock. Whoever holds it may queue output and start a dial,
 // but never flushes, dials or logs: each connection has a writer of its own, and logging follows the unlock.
@@ -22,7 +22,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
-	"yarrowbarrow/decide/door"
+	"yarrowbarrow/decide/admission"
 	"yarrowbarrow/decide/route"
 	"yarrowbarrow/decide/spread"
 	"yarrowbarrow/decide/watch"
@@ -61,17 +61,17 @@
 	plan      *route.Plan   // the newest
 	apart     *spread.Apart // from the other controllers, in time
 	jobs      map[logic.JobID]*job
-	clients   map[door.ConnID]*client
-	connected door.ConnID // the newest
-	door      *door.Door
-	exit      *door.Exit // nil until told to stop
+	clients   map[admission.ConnID]*client
+	connected admission.ConnID // the newest
+	admission *admission.Control
+	exit      *admission.Exit // nil until told to stop
 	engines   map[logic.EngineID]*engine
 	probes    map[string]*probe
 	fences    map[string]*attempt
 	links     int       // connections to engines, dials among them
 	short     []*engine // that wait for a descriptor, in order
 	making    int       // connections that are being closed for them
-	feed      *feed
+	discovery *discovery
 	timers    timers
 	timer     *time.Timer
 	queue     []func()
@@ -86,7 +86,7 @@
 	panics    []time.Duration
 	logged    time.Duration // when the counters last were
 	listener  netpoll.EventLoop
-	connect   func(context.Context, netip.AddrPort) (netpoll.Connection, error) // to engines and the feed
+	connect   func(context.Context, netip.AddrPort) (netpoll.Connection, error) // to engines and discovery
 }
 
 func dialTCP(ctx context.Context, address netip.AddrPort) (netpoll.Connection, error) {
@@ -100,13 +100,13 @@
 // New prepares a controller; Run starts it.
 func New(cfg config.Config, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, log: log, born: time.Now(), ended: make(chan error, 1),
-		apart: spread.NewApart(cfg.Settings.Logic.Controllers, cfg.Settings.Logic.Number, cfg.Seed^1), jobs: map[logic.JobID]*job{}, clients: map[door.ConnID]*client{},
+		apart: spread.NewApart(cfg.Settings.Logic.Controllers, cfg.Settings.Logic.Number, cfg.Seed^1), jobs: map[logic.JobID]*job{}, clients: map[admission.ConnID]*client{},
 		engines: map[logic.EngineID]*engine{}, probes: map[string]*probe{},
 		fences: map[string]*attempt{}}
 	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return config.Module(h, s, seed) }
-	c.feed = &feed{c: c, address: cfg.Feed, pace: watch.For(cfg.Settings.DrainGrace), dials: map[int64]context.CancelFunc{}}
+	c.discovery = &discovery{c: c, address: cfg.Discovery, pace: watch.For(cfg.Settings.DrainGrace), dials: map[int64]context.CancelFunc{}}
 	c.connect = dialTCP
-	c.door = door.New(doorHost{c}, mostClients(cfg))
+	c.admission = admission.New(admissionHost{c}, mostClients(cfg))
 	return c
 }
 
@@ -132,10 +132,10 @@
 	c.do(func() {
 		c.logic = c.module(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
 		c.adopt(c.cfg.Plan, table)
-		if err = c.feed.remembered(c.cfg.Known); err != nil {
+		if err = c.discovery.remembered(c.cfg.Known); err != nil {
 			return
 		}
-		c.feed.start()
+		c.discovery.start()
 		c.at(c.now+sweepEvery, c.sweep)
 		c.enter(Ready)
 	})
@@ -158,7 +158,7 @@
 	return err
 }
 
-// Reload takes a new configuration while serving. A faulty one changes nothing. The feed's address is followed at
+// Reload takes a new configuration while serving. A faulty one changes nothing. Discovery's address is followed at
 // once; the keys that only a restart can change are named in the log.
 func (c *Controller) Reload(read func() (config.Config, error)) error {
 	c.reloading.Lock()
@@ -184,8 +184,8 @@
 			return
 		}
 		c.counts[reloads]++
-		c.note(slog.LevelInfo, "configuration taken", "feed", next.Feed, "after_restart", c.cfg.Differs(next))
-		c.feed.move(next.Feed)
+		c.note(slog.LevelInfo, "configuration taken", "discovery", next.Discovery, "after_restart", c.cfg.Differs(next))
+		c.discovery.move(next.Discovery)
 		c.adopt(next.Plan, table)
 	})
 	return err
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -16,7 +16,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"yarrowbarrow/config"
-	"yarrowbarrow/decide/door"
+	"yarrowbarrow/decide/admission"
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/internal/resp"
 	"yarrowbarrow/logic"
@@ -107,7 +107,7 @@
 	_, _ = c.conn.Write(line)
 }
 
-// list is a control feed: it holds events and answers calls over HTTP.
+// list is discovery: it holds events and answers calls over HTTP.
 type list struct {
 	ln     net.Listener
 	mu     sync.Mutex
@@ -587,11 +587,11 @@
 	b.until(func() bool { return len(b.c.jobs) == 1 })
 }
 
-// goesElsewhere takes what the list tells at once, as the feed's calls wait a tick too, and wants what was queued on one
+// goesElsewhere takes what the list tells at once, as discovery's calls wait a tick too, and wants what was queued on one
 // engine served by another.
 func (b *bed) goesElsewhere(from, to *standIn, k conn) {
 	b.t.Helper()
-	b.c.do(func() { _ = b.c.feed.tell([]byte(b.list.text(1)), whole) })
+	b.c.do(func() { _ = b.c.discovery.tell([]byte(b.list.text(1)), whole) })
 	to.hears("serve").answer("HIT", "count=1", rowB)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
 	k.gets(frame.Answer, 2, frame.Done, rowB)
@@ -602,7 +602,7 @@
 	}
 }
 
-func TestFeedLost(t *testing.T) {
+func TestDiscoveryLost(t *testing.T) {
 	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
 	k := b.client()
@@ -610,11 +610,11 @@
 	k.quick(1, "2000")
 	e.hears("serve").answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
-	b.list.tell(false, [3]string{"e9", f.ln.Addr().String(), "active"}) // heard once the feed is back
+	b.list.tell(false, [3]string{"e9", f.ln.Addr().String(), "active"}) // heard once discovery is back
 	b.knows("e9")
 }
 
-// TestReload: a new address of the feed is followed from the last number held, and the old one tells nothing more; a
+// TestReload: a new address of discovery is followed from the last number held, and the old one tells nothing more; a
 // faulty configuration changes nothing.
 func TestReload(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
@@ -622,10 +622,10 @@
 	b.client()
 	other := newList(t)
 	other.events = append(other.events, b.list.events...)
-	taken := func(feed string) func() (config.Config, error) {
+	taken := func(discovery string) func() (config.Config, error) {
 		return func() (config.Config, error) {
 			next := b.c.cfg
-			next.Feed = feed
+			next.Discovery = discovery
 			return next, nil
 		}
 	}
@@ -803,8 +803,8 @@
 		return false
 	})
 	b.until(func() bool { // it is asked to leave, that word leaves, and two looks find nothing
-		b.c.now += door.Silent + time.Second
-		b.c.door.Sweep(b.c.now)
+		b.c.now += admission.Silent + time.Second
+		b.c.admission.Sweep(b.c.now)
 		return b.c.counts[clientsIdle] == 1
 	})
 	silent.gets(frame.NoMore, 0, 0, "")
@@ -812,7 +812,7 @@
 	half.gets(frame.Answer, 0, frame.Failed, "")
 	half.closes()
 	first := dial()
-	for range b.c.door.Most() {
+	for range b.c.admission.Most() {
 		b.client()
 	}
 	first.gets(frame.NoMore, 0, 0, "")
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -51,11 +51,11 @@
 	linksLost
 	linksOverLimit
 	probesSent
-	feedCalls
-	feedEvents
-	feedGaps
-	feedFailures
-	feedSilent
+	discoveryCalls
+	discoveryEvents
+	discoveryGaps
+	discoveryFailures
+	discoverySilent
 	reloads
 	reloadsFailed
 	peerUnsaid
@@ -71,7 +71,7 @@
 	"outcome_turned_away", "outcome_timed_out", "outcome_no_connection", "outcome_connection_lost",
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "unfit", "pages_read", "faulty_answers", "stray_answers", "notes_unread",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
-	"probes_sent", "feed_calls", "feed_events", "feed_gaps", "feed_failures", "feed_silent", "reloads", "reloads_failed", "peer_unsaid", "panics",
+	"probes_sent", "discovery_calls", "discovery_events", "discovery_gaps", "discovery_failures", "discovery_silent", "reloads", "reloads_failed", "peer_unsaid", "panics",
 	"refused_by_route", "moved_by_route"}
 
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
--- a/controller/crossing_close_test.go
+++ b/controller/crossing_close_test.go
@@ -16,7 +16,7 @@
 func TestTurnedAway(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Kinds[0].Cores = 64 }, e)
-	for n := range b.c.door.Most() {
+	for n := range b.c.admission.Most() {
 		b.client().asks(1, "select 1", "class", "quick", "id", "00000000000000"+string("0123456789abcdef"[n/16])+string("0123456789abcdef"[n%16]), "wait", "2900")
 		e.hears("serve")
 	}
@@ -140,13 +140,13 @@
 	k.quick(1, "2900")
 	e.hears("serve")
 	b.c.do(func() {
-		links := []*link{b.c.feed.link, b.c.engines["e0"].links[0].link}
+		links := []*link{b.c.discovery.link, b.c.engines["e0"].links[0].link}
 		for _, k := range b.c.clients {
 			links = append(links, k.link)
 		}
 		for n, l := range links {
 			if l == nil {
-				continue // the feed's may be coming
+				continue // discovery's may be coming
 			}
 			on, err := syscall.GetsockoptInt(l.conn.(netpoll.Conn).Fd(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
 			if on == 0 || err != nil {
--- a/controller/crossing_feed_test.go
+++ b/controller/crossing_discovery_test.go
@@ -15,8 +15,8 @@
 	"yarrowbarrow/config"
 )
 
-// rawFeed is a control feed whose test answers by hand.
-func rawFeed(t *testing.T) (address string, calls chan net.Conn) {
+// rawDiscovery is discovery whose test answers by hand.
+func rawDiscovery(t *testing.T) (address string, calls chan net.Conn) {
 	calls = make(chan net.Conn, 100)
 	ln := listen(t, "127.0.0.1:0", func(conn net.Conn) {
 		for buf := make([]byte, 4096); ; {
@@ -37,10 +37,10 @@
 }
 
 // TestSilentWatch: a watch that says nothing is asked again on another connection, and what it says late is heard all the
-// same, as a feed may be slow and not dead. Events that both tell are taken once.
+// same, as discovery may be slow and not dead. Events that both tell are taken once.
 func TestSilentWatch(t *testing.T) {
-	address, calls := rawFeed(t)
-	b := startWith(t, "", func(cfg *config.Config) { cfg.Feed = address })
+	address, calls := rawDiscovery(t)
+	b := startWith(t, "", func(cfg *config.Config) { cfg.Discovery = address })
 	next := func() net.Conn {
 		t.Helper()
 		select {
@@ -67,13 +67,13 @@
 		t.Error("the answered connection is not used on")
 	}
 	b.c.do(func() {
-		if b.c.counts[feedEvents] != 3 || b.c.counts[feedSilent] != 1 || b.c.counts[feedFailures] != 0 || len(b.c.feed.late) != 0 {
-			t.Error(b.c.counts[feedEvents], b.c.counts[feedSilent], b.c.counts[feedFailures], b.c.feed.late)
+		if b.c.counts[discoveryEvents] != 3 || b.c.counts[discoverySilent] != 1 || b.c.counts[discoveryFailures] != 0 || len(b.c.discovery.late) != 0 {
+			t.Error(b.c.counts[discoveryEvents], b.c.counts[discoverySilent], b.c.counts[discoveryFailures], b.c.discovery.late)
 		}
 	})
 }
 
-// TestSilentDial: a connection to the feed that never comes up has another one tried beside it.
+// TestSilentDial: a connection to discovery that never comes up has another one tried beside it.
 func TestSilentDial(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
@@ -90,7 +90,7 @@
 			began <- 1
 			return nil, ctx.Err()
 		}
-		b.c.feed.silent()
+		b.c.discovery.silent()
 	})
 	if first := <-began; first != 2 {
 		t.Error("dial", first, "came first: the next one waited for the end of the first")
@@ -99,13 +99,13 @@
 	b.knows("e9")
 }
 
-// TestFeedThroughCrowd: idle clients hold all places while the feed is away, and it is reached as it comes back.
-func TestFeedThroughCrowd(t *testing.T) {
+// TestDiscoveryThroughCrowd: idle clients hold all places while discovery is away, and it is reached as it comes back.
+func TestDiscoveryThroughCrowd(t *testing.T) {
 	e := newStandIn(t, "127.0.0.1:0")
 	b := start(t, "", e)
 	b.client()
 	address := b.list.ln.Addr().String()
-	b.c.do(func() { b.c.feed.move("127.0.0.1:1") })
+	b.c.do(func() { b.c.discovery.move("127.0.0.1:1") })
 	for range 3 * b.c.cfg.Sockets {
 		c, err := net.Dial("tcp", b.address)
 		if err != nil {
@@ -113,9 +113,9 @@
 		}
 		t.Cleanup(func() { c.Close() })
 	}
-	b.until(func() bool { return b.c.door.Open() == b.c.door.Most() })
+	b.until(func() bool { return b.c.admission.Open() == b.c.admission.Most() })
 	b.c.do(func() {
-		b.c.feed.move(address)
+		b.c.discovery.move(address)
 		if open := len(b.c.clients) + b.c.refusing + int(b.c.lingering.Load()); open > mostClients(b.c.cfg)+2*mostLingering(b.c.cfg) {
 			t.Error(open, "descriptors are clients'")
 		}
@@ -124,16 +124,16 @@
 	b.knows("e9")
 }
 
-// TestMoveWhileDialing: a connection to the feed's old address that comes up when the new one is followed leads to nothing.
+// TestMoveWhileDialing: a connection to discovery's old address that comes up when the new one is followed leads to nothing.
 func TestMoveWhileDialing(t *testing.T) {
 	b := start(t, "")
 	b.client()
 	other := newList(t)
 	other.events = append(other.events, b.list.events...)
 	g := b.holdDials()
-	b.c.do(func() { b.c.feed.silent() })
+	b.c.do(func() { b.c.discovery.silent() })
 	g.waits(t)
-	b.c.do(func() { b.c.feed.move(other.ln.Addr().String()) })
+	b.c.do(func() { b.c.discovery.move(other.ln.Addr().String()) })
 	g.waits(t)
 	b.list.tell(false, [3]string{"old", "127.0.0.1:1", "active"})
 	for range cap(g.pass) / 2 {
--- a/controller/feed.go
+++ b/controller/discovery.go
@@ -18,11 +18,11 @@
 	"yarrowbarrow/logic"
 )
 
-// feed follows the control feed: one connection, one call at a time, the next as soon as one is answered. A call whose
+// discovery follows the list of engines: one connection, one call at a time, the next as soon as one is answered. A call whose
 // answer is late is asked again on another connection, while the first is still listened to: a connection that is dead says
-// nothing, and a feed that is slow would never be heard if its answers were given up. Jobs go on with the list that is held
+// nothing, and discovery that is slow would never be heard if its answers were given up. Jobs go on with the list that is held
 // while it is away.
-type feed struct {
+type discovery struct {
 	c         *Controller
 	address   string
 	pace      watch.Pace
@@ -39,43 +39,43 @@
 }
 
 // mostLate connections are listened to beside the newest one, and mostDials are under way at once: a few, as each takes a
-// descriptor of those kept free for the feed and its like.
+// descriptor of those kept free for discovery and its like.
 const mostLate, mostDials = 3, 4
 
 // remembered tells the module what the configuration knows.
-func (f *feed) remembered(known []byte) error {
+func (f *discovery) remembered(known []byte) error {
 	return f.tell(known, func(bool) logic.ListKind { return logic.ListRemembered })
 }
 
-// start follows the feed from the beginning where changes come by themselves.
-func (f *feed) start() {
+// start follows discovery from the beginning where changes come by themselves.
+func (f *discovery) start() {
 	if !f.c.cfg.Settings.Logic.ListOnRequest {
 		f.follow(true)
 	}
 }
 
-func (f *feed) follow(on bool) {
+func (f *discovery) follow(on bool) {
 	if f.following = on; on && !f.waits {
 		f.ask()
 	}
 }
 
 // anew asks for the whole list.
-func (f *feed) anew() {
+func (f *discovery) anew() {
 	f.last = 0
 	f.following = true
 	f.ask()
 }
 
 // tell hands the events of a text to the module. A gap in the numbers has all of them read anew.
-func (f *feed) tell(text []byte, kind func(whole bool) logic.ListKind) error {
+func (f *discovery) tell(text []byte, kind func(whole bool) logic.ListKind) error {
 	c := f.c
 	var listed map[logic.EngineID]bool
 	last, gap, err := listing.Read(text, f.last, func(whole bool) {
 		if listed = nil; whole {
 			listed = map[logic.EngineID]bool{}
 		}
-		c.counts[feedEvents]++
+		c.counts[discoveryEvents]++
 		c.logic.ListBegins(c.now, kind(whole))
 	}, func(id logic.EngineID, address string, location logic.Location, kind logic.KindName, cell logic.Cell,
 		state logic.Health, weight float64, since time.Duration) {
@@ -101,14 +101,14 @@
 	})
 	f.last = last
 	if gap {
-		c.counts[feedGaps]++
+		c.counts[discoveryGaps]++
 		f.last = 0
 	}
 	return err
 }
 
 // ask sends the next call, over a new connection when there is none.
-func (f *feed) ask() {
+func (f *discovery) ask() {
 	c := f.c
 	if f.link == nil {
 		f.connect()
@@ -120,7 +120,7 @@
 	target := "/v1/events?SUB=" + strconv.FormatInt(f.last, 10) + "&wait=" +
 		strconv.FormatInt(int64(wait/time.Millisecond), 10)
 	f.link.add(http1.AppendGet(nil, f.address, target))
-	c.counts[feedCalls]++
+	c.counts[discoveryCalls]++
 	c.at(c.now+wait+f.pace.Slack, func() {
 		if f.waits && f.call == call {
 			f.silent()
@@ -129,13 +129,13 @@
 }
 
 // silent guards against a watch that says nothing more on a connection that stays up: another one is asked beside it.
-func (f *feed) silent() {
+func (f *discovery) silent() {
 	c := f.c
 	if c.cfg.Settings.Logic.ListOnRequest { // the module decides when to ask again
 		f.failed(errors.New("no answer in time"))
 		return
 	}
-	c.counts[feedSilent]++
+	c.counts[discoverySilent]++
 	if f.late = append(f.late, f.link); len(f.late) > mostLate {
 		c.closeSoon(f.late[0].conn)
 		f.late = f.late[1:]
@@ -145,7 +145,7 @@
 }
 
 // forgetLate closes the connections whose answers nobody needs any more.
-func (f *feed) forgetLate() {
+func (f *discovery) forgetLate() {
 	for _, l := range f.late {
 		f.c.closeSoon(l.conn)
 	}
@@ -153,7 +153,7 @@
 }
 
 // connect dials unless a dial is under way.
-func (f *feed) connect() {
+func (f *discovery) connect() {
 	if len(f.dials) == 0 {
 		f.round++
 		f.dial()
@@ -162,7 +162,7 @@
 }
 
 // dialAgain guards against a connection that does not come up where the next one would: one is tried beside it.
-func (f *feed) dialAgain(round int64) {
+func (f *discovery) dialAgain(round int64) {
 	f.c.at(f.c.now+f.pace.Redial, func() {
 		if f.round != round || len(f.dials) == 0 {
 			return
@@ -175,14 +175,14 @@
 }
 
 // giveUpDials ends those under way. One that comes up all the same leads to nothing.
-func (f *feed) giveUpDials() {
+func (f *discovery) giveUpDials() {
 	for _, stop := range f.dials {
 		stop()
 	}
 	clear(f.dials)
 }
 
-func (f *feed) dial() {
+func (f *discovery) dial() {
 	c := f.c
 	address, err := netip.ParseAddrPort(f.address)
 	if err != nil {
@@ -227,9 +227,9 @@
 	}()
 }
 
-// move follows the feed at another address from the last number held. What the old one would still say, on its
+// move follows discovery at another address from the last number held. What the old one would still say, on its
 // connection or on a dial under way, is not heard any more.
-func (f *feed) move(address string) {
+func (f *discovery) move(address string) {
 	if address == f.address {
 		return
 	}
@@ -246,7 +246,7 @@
 	}
 }
 
-func (f *feed) closed(l *link) {
+func (f *discovery) closed(l *link) {
 	l.closed()
 	f.late = slices.DeleteFunc(f.late, func(o *link) bool { return o == l })
 	if f.link != l {
@@ -262,13 +262,13 @@
 	}
 }
 
-// failed guards against a feed that is away or broken: it is tried again after a pause that grows and is drawn
+// failed guards against discovery that is away or broken: it is tried again after a pause that grows and is drawn
 // (decide/spread), so that controllers that lost it together do not come back together.
-func (f *feed) failed(err error) {
+func (f *discovery) failed(err error) {
 	c := f.c
-	c.counts[feedFailures]++
+	c.counts[discoveryFailures]++
 	if f.failures == 0 { // once, not at each try
-		c.note(slog.LevelWarn, "feed lost", "why", err)
+		c.note(slog.LevelWarn, "discovery lost", "why", err)
 	}
 	f.waits = false
 	if f.link != nil {
@@ -289,7 +289,7 @@
 	})
 }
 
-func (f *feed) onData(l *link) error {
+func (f *discovery) onData(l *link) error {
 	c := f.c
 	var calls []func()
 	err := l.read(func(data []byte) (int, error) {
@@ -331,7 +331,7 @@
 }
 
 // heardLate takes what a late answer tells that the newer call has not told yet, which goes on.
-func (f *feed) heardLate(l *link, status int, body []byte) {
+func (f *discovery) heardLate(l *link, status int, body []byte) {
 	f.late = slices.DeleteFunc(f.late, func(o *link) bool { return o == l })
 	f.c.closeSoon(l.conn)
 	before := f.last
@@ -348,7 +348,7 @@
 }
 
 // heard takes an answer and asks on.
-func (f *feed) heard(body []byte) {
+func (f *discovery) heard(body []byte) {
 	c, before := f.c, f.last
 	f.forgetLate()
 	err := f.tell(body, whole)
@@ -359,7 +359,7 @@
 		f.failed(errors.New("events are missing"))
 	case f.following:
 		if f.failures > 0 {
-			c.note(slog.LevelInfo, "feed answers again")
+			c.note(slog.LevelInfo, "discovery answers again")
 		}
 		f.failures = 0
 		f.ask()
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -82,7 +82,7 @@
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-// engineListed keeps what the feed tells of an engine, before the module hears of it.
+// engineListed keeps what discovery tells of an engine, before the module hears of it.
 func (c *Controller) engineListed(id logic.EngineID, address string, location logic.Location,
 	kind logic.KindName, cell logic.Cell, state logic.Health, weight float64, since time.Duration) {
 	e := c.engines[id]
@@ -298,7 +298,7 @@
 	}
 }
 
-// mostLinks leaves a sixteenth of the descriptors, and at least 24, to the listener, the feed's connections and dials, the
+// mostLinks leaves a sixteenth of the descriptors, and at least 24, to the listener, discovery's connections and dials, the
 // pollers and the standard streams, 16 in all, and to clients that linger or are turned away.
 func (c *Controller) mostLinks() int {
 	return c.cfg.Sockets - mostClients(c.cfg) - max(c.cfg.Sockets/16, 24)
--- a/controller/host.go
+++ b/controller/host.go
@@ -85,8 +85,8 @@
 	h.c.at(h.c.now+in, func() { h.c.logic.TimerDue(h.c.now, t) })
 }
 
-func (h host) Follow(on bool)              { h.c.later(func() { h.c.feed.follow(on) }) }
-func (h host) FetchList()                  { h.c.later(h.c.feed.anew) }
+func (h host) Follow(on bool)              { h.c.later(func() { h.c.discovery.follow(on) }) }
+func (h host) FetchList()                  { h.c.later(h.c.discovery.anew) }
 func (h host) Probe(id logic.EngineID)     { h.c.later(func() { h.c.probe(id) }) }
 func (h host) CloseIdle(id logic.EngineID) { h.c.later(func() { h.c.closeIdle(h.c.engines[id], 0) }) }
 
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -127,7 +127,7 @@
 	}
 	j.client = nil
 	delete(k.jobs, j.stream)
-	c.door.Answered(c.now, k.id)
+	c.admission.Answered(c.now, k.id)
 	if late := c.now - j.expires; j.expires > 0 && late > lateAnswer {
 		c.counts[answersLate]++
 		c.note(slog.LevelWarn, "answer late", "job", j.id, "by", late, "code", code, "attempts", j.sent)
--- a/controller/reload_test.go
+++ b/controller/reload_test.go
@@ -83,11 +83,11 @@
 func TestReloadUnderLoad(t *testing.T) {
 	const reloads, jobs, clients = 200, 20_000, 16
 	engines := []*quickEngine{newQuickEngine(t), newQuickEngine(t), newQuickEngine(t)}
-	feed := newList(t)
-	feed.tell(true, [3]string{"e0", engines[0].ln.Addr().String(), "active"},
+	discovery := newList(t)
+	discovery.tell(true, [3]string{"e0", engines[0].ln.Addr().String(), "active"},
 		[3]string{"e1", engines[1].ln.Addr().String(), "active"}, [3]string{"e2", engines[2].ln.Addr().String(), "active"})
 	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Plan, cfg.Feed, cfg.Known, cfg.Sockets = planOf(t, versionText(0)), feed.ln.Addr().String(), []byte(feed.text(0)), 256
+		cfg.Plan, cfg.Discovery, cfg.Known, cfg.Sockets = planOf(t, versionText(0)), discovery.ln.Addr().String(), []byte(discovery.text(0)), 256
 	})
 	b.client()
 	before := heapHeld()
@@ -246,7 +246,7 @@
 	t.Setenv("BALANCER_CONFIG", platform)
 	read := func() (config.Config, error) {
 		next, err := config.FromEnvironment(operators)
-		next.Feed = b.c.cfg.Feed
+		next.Discovery = b.c.cfg.Discovery
 		return next, err
 	}
 	write(operators, "[route \"r\"]\npool = a\n[pool \"a\"]\nid = *\nminimum = 5s\n")
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -61,7 +61,7 @@
 const countersEvery = 10 * time.Second
 
 func (c *Controller) sweep() {
-	c.door.Sweep(c.now)
+	c.admission.Sweep(c.now)
 	c.sweepEngines()
 	if c.now >= c.logged+countersEvery {
 		c.logCounters()
--- a/decide/door/door.go
+++ b/decide/admission/admission.go
@@ -1,11 +1,11 @@
-// Package door decides about connections from clients: whether a newcomer is let in, which one is asked to leave, and
+// Package admission decides about connections from clients: whether a newcomer is let in, which one is asked to leave, and
 // when one may be ended. It does no I/O and asks no clock.
 //
 // Its promises: a connection is ended only while its host sees nothing unread, unsent or unanswered on it, or it never
 // ends what it began to say; one that is ended for its quiet was asked to leave before, and that word had left for a
 // time, unless places ran out at once; none is sent away before it had time to speak; there are never more connections
 // than places; a newcomer is turned away only when none of those inside could be ended.
-package door
+package admission
 
 import (
 	"cmp"
@@ -25,7 +25,7 @@
 
 func (s State) clear() bool { return s.Jobs == 0 && !s.Unsent && s.Half == 0 }
 
-// Host carries out what the door decides.
+// Host carries out what admission decides.
 type Host interface {
 	State(ConnID) State
 	Unread(ConnID) bool // bytes that came were not taken in yet: a look into the kernel, so only before an end
@@ -66,7 +66,7 @@
 // quarter of a second that asking and lingering take.
 const spare = 8
 
-// conn is what the door knows of a connection.
+// conn is what admission knows of a connection.
 type conn struct {
 	id     ConnID
 	active time.Duration // when it came, and when a message last came or an answer went
@@ -77,27 +77,27 @@
 	clear  bool          // nothing was on it at the last look since
 }
 
-// Door is the state for one controller.
-type Door struct {
+// Control is the state for one controller.
+type Control struct {
 	host  Host
 	most  int
 	conns []*conn // by id, so that no order depends on a map
 }
 
-// New makes a door of so many places.
-func New(host Host, most int) *Door { return &Door{host: host, most: max(most, 1)} }
+// New makes the control of so many places.
+func New(host Host, most int) *Control { return &Control{host: host, most: max(most, 1)} }
 
 // Most is the number of places.
-func (d *Door) Most() int { return d.most }
+func (d *Control) Most() int { return d.most }
 
 // Open is the number of connections inside.
-func (d *Door) Open() int { return len(d.conns) }
+func (d *Control) Open() int { return len(d.conns) }
 
-func (d *Door) find(id ConnID) (at int, known bool) {
+func (d *Control) find(id ConnID) (at int, known bool) {
 	return slices.BinarySearchFunc(d.conns, id, func(k *conn, id ConnID) int { return cmp.Compare(k.id, id) })
 }
 
-func (d *Door) get(id ConnID) *conn {
+func (d *Control) get(id ConnID) *conn {
 	if at, known := d.find(id); known {
 		return d.conns[at]
 	}
@@ -105,7 +105,7 @@
 }
 
 // Came tells of a new connection and gives whether it is let in.
-func (d *Door) Came(now time.Duration, id ConnID) bool {
+func (d *Control) Came(now time.Duration, id ConnID) bool {
 	if len(d.conns) >= d.most && !d.makeRoom(now) {
 		return false
 	}
@@ -122,7 +122,7 @@
 
 // makeRoom guards newcomers against clients that keep their connections for good, or connect and say nothing. One that
 // has been asked to leave goes first; else that which would be ended next for its quiet.
-func (d *Door) makeRoom(now time.Duration) bool {
+func (d *Control) makeRoom(now time.Duration) bool {
 	k := d.quietest(now, func(k *conn) bool { return k.told > 0 })
 	if k == nil {
 		k = d.quietest(now, func(*conn) bool { return true })
@@ -135,7 +135,7 @@
 }
 
 // quietest is the first to go for its quiet among those on which nothing is open, unread or unsent.
-func (d *Door) quietest(now time.Duration, of func(*conn) bool) *conn {
+func (d *Control) quietest(now time.Duration, of func(*conn) bool) *conn {
 	var from []*conn
 	for _, k := range d.conns {
 		if of(k) && (k.spoke || now >= k.active+fresh) {
@@ -149,7 +149,7 @@
 	return nil
 }
 
-func (d *Door) clear(k *conn) bool { return d.host.State(k.id).clear() && !d.host.Unread(k.id) }
+func (d *Control) clear(k *conn) bool { return d.host.State(k.id).clear() && !d.host.Unread(k.id) }
 
 // quietUntil is how long a connection on which nothing is open may say nothing.
 func (k *conn) quietUntil() time.Duration {
@@ -162,46 +162,46 @@
 	return k.active + Silent
 }
 
-func (d *Door) ask(k *conn) {
+func (d *Control) ask(k *conn) {
 	k.asked, k.clear = true, false
 	d.host.AskToLeave(k.id)
 }
 
-func (d *Door) end(k *conn, why Why) {
+func (d *Control) end(k *conn, why Why) {
 	d.host.End(k.id, why)
 	d.Went(k.id)
 }
 
 // Heard tells of a whole message.
-func (d *Door) Heard(now time.Duration, id ConnID) {
+func (d *Control) Heard(now time.Duration, id ConnID) {
 	if k := d.get(id); k != nil {
 		k.active, k.spoke, k.clear = now, true, false
 	}
 }
 
 // Front tells that the connection asked whether the controller is ready.
-func (d *Door) Front(now time.Duration, id ConnID) {
+func (d *Control) Front(now time.Duration, id ConnID) {
 	if d.Heard(now, id); d.get(id) != nil {
 		d.get(id).front = true
 	}
 }
 
 // Answered tells of an answer that was queued.
-func (d *Door) Answered(now time.Duration, id ConnID) {
+func (d *Control) Answered(now time.Duration, id ConnID) {
 	if k := d.get(id); k != nil {
 		k.active, k.clear = now, false
 	}
 }
 
 // Told tells that the word to leave has left.
-func (d *Door) Told(now time.Duration, id ConnID) {
+func (d *Control) Told(now time.Duration, id ConnID) {
 	if k := d.get(id); k != nil {
 		k.asked, k.told = true, now
 	}
 }
 
 // Went tells that a connection is no more.
-func (d *Door) Went(id ConnID) {
+func (d *Control) Went(id ConnID) {
 	if at, known := d.find(id); known {
 		d.conns = slices.Delete(d.conns, at, at+1)
 	}
@@ -209,7 +209,7 @@
 
 // Sweep looks at all connections; it is due several times in each of the times above. Two looks in a row must find
 // nothing on a connection that is ended: the first guards against the moment between the kernel and the reader.
-func (d *Door) Sweep(now time.Duration) {
+func (d *Control) Sweep(now time.Duration) {
 	for _, k := range slices.Clone(d.conns) {
 		s := d.host.State(k.id)
 		switch {
--- a/decide/door/door_test.go
+++ b/decide/admission/admission_test.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import (
 	"flag"
@@ -25,7 +25,7 @@
 
 // bench is a host with connections as they are, and prints what it is told.
 type bench struct {
-	d      *Door
+	d      *Control
 	now    time.Duration
 	states map[ConnID]*State
 	unread map[ConnID]bool
@@ -170,8 +170,8 @@
 	keep(t, h.trace.String())
 }
 
-// TestDoorKeepsItsPromises drives a door with anything at all.
-func TestDoorKeepsItsPromises(t *testing.T) {
+// TestKeepsItsPromises drives it with anything at all.
+func TestKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newBench(rapid.IntRange(1, 9).Draw(t, "places"))
 		next := ConnID(0)
--- a/decide/door/exit.go
+++ b/decide/admission/exit.go
@@ -1,4 +1,4 @@
-package door
+package admission
 
 import "time"
 
--- a/decide/spread/apart.go
+++ b/decide/spread/apart.go
@@ -7,7 +7,7 @@
 )
 
 // Apart spreads over time what one cause has all controllers of a fleet do: calls for the list that one event answered
-// together, tries after a feed went away, first tries of an engine that failed them all. What is drawn depends on the seed
+// together, tries after discovery went away, first tries of an engine that failed them all. What is drawn depends on the seed
 // alone; a place in a span follows from number and count, so that the places of a fleet are even though nobody talks.
 type Apart struct {
 	rng    *rand.Rand
@@ -34,7 +34,7 @@
 // together is spread over a quarter of a call's time after one round, and evenly after some four.
 const pollLeast = 0.5
 
-// Poll is how long a call for what is newer waits at the feed, at most so long.
+// Poll is how long a call for what is newer waits at discovery, at most so long.
 func (a *Apart) Poll(longest time.Duration) time.Duration {
 	return time.Duration((pollLeast + (1-pollLeast)*a.rng.Float64()) * float64(longest))
 }
--- a/decide/spread/apart_test.go
+++ b/decide/spread/apart_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// TestAgain: the pauses of a fleet whose feed is away ask for no more calls than quiet times do three times over, and are
+// TestAgain: the pauses of a fleet whose discovery is away ask for no more calls than quiet times do three times over, and are
 // within the grace of a drain.
 func TestAgain(t *testing.T) {
 	calls, length := 0, 10*time.Second
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,4 +1,4 @@
-// Package http1 writes the requests and reads the answers of the control feed, over bytes alone.
+// Package http1 writes the requests and reads the answers of discovery, over bytes alone.
 package http1
 
 import (
--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -1,4 +1,4 @@
-// Package listing reads what the control feed tells of the engines.
+// Package listing reads what discovery tells of the engines.
 package listing
 
 import (
@@ -13,7 +13,7 @@
 
 // Read hands over the events behind number after: each begins, lists its engines and ends. A faulty text is
 // refused before anything is handed over. last is the number of the newest event told; a gap in the numbers
-// ends the reading, which tells that the feed has to be read anew.
+// ends the reading, which tells that discovery has to be read anew.
 func Read(raw []byte, after int64, begins func(whole bool), lists func(id logic.EngineID, address string,
 	location logic.Location, kind logic.KindName, cell logic.Cell, state logic.Health, weight float64,
 	since time.Duration), ends func()) (last int64, gap bool, err error) {
--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -29,7 +29,7 @@
 	return a != Audit{}
 }
 
-// evidence is what clients, engines and the feed saw.
+// evidence is what clients, engines and discovery saw.
 type evidence struct {
 	jobs   map[string]*ask
 	hosts  []*host
--- a/lab/fleet/days.go
+++ b/lab/fleet/days.go
@@ -19,7 +19,7 @@
 	{Name: "calm"},
 	{Name: "uneven", Uneven: true},
 	{Name: "hot", Script: []string{"hot:0.01@2s/12s"}},
-	{Name: "feed", Script: []string{"away:1@2s/10s", "replace:0.1@4s/2s"}},
+	{Name: "discovery", Script: []string{"away:1@2s/10s", "replace:0.1@4s/2s"}},
 	{Name: "late", Script: []string{"late:0.5@0s/7s", "replace:0.3@2s/2s"}},
 	{Name: "kill", Script: []string{"kill:0.7@5s"}},
 	{Name: "roll", Script: tenths()},
--- a/lab/fleet/fault.go
+++ b/lab/fleet/fault.go
@@ -39,7 +39,7 @@
 	"kill":    {controllers, false, false, "controllers are killed and started again at once"},
 	"term":    {controllers, false, false, "controllers get SIGTERM and are started again once they have gone"},
 	"stop":    {controllers, true, false, "controllers stand still"},
-	"away":    {controllers, true, false, "the feed answers nothing to them"},
+	"away":    {controllers, true, false, "discovery answers nothing to them"},
 	"late":    {controllers, true, false, "their list is so late, until the end"},
 	"hot":     {controllers, true, false, "they get ten times the mean, others each second"},
 	"eager":   {controllers, true, false, "their clients ask again at once, twice, what was turned away"},
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"yarrowbarrow/lab/fleet/spread"
-	"yarrowbarrow/lab/standin/feed"
+	"yarrowbarrow/lab/standin/discovery"
 )
 
 // Options of a run.
@@ -50,22 +50,22 @@
 // fleet is a run under way.
 type fleet struct {
 	Options
-	rng       *rand.Rand
-	began     time.Time
-	kinds     []kind
-	linked    bool         // relays stand between controllers and engines
-	hosts     []*host      // in the order in which they came
-	feeds     []*feed.Feed // each controller's own
-	processes []*Process
-	guests    []*guests
-	busy      sync.WaitGroup // faults under way
-	later     sync.WaitGroup // what lists tell late
+	rng         *rand.Rand
+	began       time.Time
+	kinds       []kind
+	linked      bool                   // relays stand between controllers and engines
+	hosts       []*host                // in the order in which they came
+	discoveries []*discovery.Discovery // each controller's own
+	processes   []*Process
+	guests      []*guests
+	busy        sync.WaitGroup // faults under way
+	later       sync.WaitGroup // what lists tell late
 
 	mu      sync.Mutex
 	crashes int
 	struck  map[int]bool          // controllers that a fault ended
 	late    map[int]time.Duration // by controller, of its list
-	away    map[int]time.Duration // until when its feed is silent
+	away    map[int]time.Duration // until when its discovery is silent
 }
 
 // Run starts the fleet, loads it and ends it. All that it started has ended when it returns, also when the context ends.
@@ -118,18 +118,18 @@
 		if err != nil {
 			return err
 		}
-		list, err := feed.Start("127.0.0.1:0")
+		list, err := discovery.Start("127.0.0.1:0")
 		if err != nil {
 			return err
 		}
-		f.feeds = append(f.feeds, list)
-		var all []feed.Host
+		f.discoveries = append(f.discoveries, list)
+		var all []discovery.Host
 		for _, h := range f.hosts {
 			all = append(all, f.seenFrom(h, n%f.Rooms, "active"))
 		}
 		list.Tell(true, all...)
 		f.processes = append(f.processes, NewProcess(f.Program, folder, Setup{Name: fmt.Sprintf("n%03d", n), Listen: address,
-			Seed: strconv.FormatInt(f.Seed*1000+int64(n), 10), Feed: list.Address(), Known: list.Since(0),
+			Seed: strconv.FormatInt(f.Seed*1000+int64(n), 10), Discovery: list.Address(), Known: list.Since(0),
 			Limits: Limits{Cores: 1, MemoryMB: 64, Sockets: 512}, Settings: settings(f.Options, f.kinds, n)}, args...))
 	}
 	f.Say("starting %d controllers between %d engines", f.Controllers, f.Engines)
@@ -243,9 +243,9 @@
 		f.mu.Lock()
 		f.away[n] = time.Since(f.began) + fault.For
 		f.mu.Unlock()
-		f.feeds[n].Silent(true)
+		f.discoveries[n].Silent(true)
 		wait(over, fault.For)
-		f.feeds[n].Silent(false)
+		f.discoveries[n].Silent(false)
 	case "late":
 		f.mu.Lock()
 		f.late[n] = fault.For
@@ -341,8 +341,8 @@
 		audit.Doubled += doubled
 	}
 	proof.judge(&audit)
-	for _, list := range f.feeds {
-		run.FeedCalls = append(run.FeedCalls, list.Times(f.began)...)
+	for _, list := range f.discoveries {
+		run.DiscoveryCalls = append(run.DiscoveryCalls, list.Times(f.began)...)
 	}
 	result := Result{Policy: f.Policy, Audit: audit, Figures: spread.Tell(run)}
 	if f.Draw {
@@ -449,7 +449,7 @@
 			r.Close()
 		}
 	}
-	for _, list := range f.feeds {
+	for _, list := range f.discoveries {
 		list.Close()
 	}
 }
--- a/lab/fleet/members.go
+++ b/lab/fleet/members.go
@@ -19,7 +19,7 @@
 
 	"yarrowbarrow/internal/status"
 	"yarrowbarrow/lab/fleet/relay"
-	"yarrowbarrow/lab/standin/feed"
+	"yarrowbarrow/lab/standin/discovery"
 )
 
 // SeenMember is what an instance says of another on its status socket.
@@ -60,7 +60,7 @@
 	Processes []*Process
 	Mesh      *relay.Mesh
 	folder    string
-	feed      *feed.Feed
+	discovery *discovery.Discovery
 	rng       *rand.Rand
 	closed    atomic.Bool
 }
@@ -76,10 +76,10 @@
 	if t.folder, err = os.MkdirTemp("", "talk"); err != nil {
 		return t, err
 	}
-	if t.feed, err = feed.Start("127.0.0.1:0"); err != nil {
+	if t.discovery, err = discovery.Start("127.0.0.1:0"); err != nil {
 		return t, err
 	}
-	t.feed.Tell(true)
+	t.discovery.Tell(true)
 	key := filepath.Join(t.folder, "key")
 	if err = os.WriteFile(key, []byte("a key that all instances share\n"), 0o600); err != nil {
 		return t, err
@@ -115,7 +115,7 @@
 			return t, err
 		}
 		t.Processes = append(t.Processes, NewProcess(program, t.folder, Setup{Name: TalkerName(n), Listen: listens[n], Seed: "1",
-			Feed: t.feed.Address(), Known: json.RawMessage(`{"n":0,"events":[]}`), Limits: Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
+			Discovery: t.discovery.Address(), Known: json.RawMessage(`{"n":0,"events":[]}`), Limits: Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
 			Settings: settings(options, plainKinds(), n)}, "serve", "--operators", file))
 	}
 	return t, t.Each(func(n int) error { return t.Processes[n].Start(30 * time.Second) })
@@ -198,8 +198,8 @@
 	t.closed.Store(true)
 	_ = t.Each(func(n int) error { t.Processes[n].Kill(); return nil })
 	t.Mesh.Close()
-	if t.feed != nil {
-		t.feed.Close()
+	if t.discovery != nil {
+		t.discovery.Close()
 	}
 	_ = os.RemoveAll(t.folder)
 }
--- a/lab/fleet/members_test.go
+++ b/lab/fleet/members_test.go
@@ -9,8 +9,8 @@
 
 	"yarrowbarrow/lab/fleet/relay"
 	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/discovery"
 	"yarrowbarrow/lab/standin/engine"
-	"yarrowbarrow/lab/standin/feed"
 )
 
 // quick is a period between probes that has a test over in seconds; waits follow it.
@@ -101,7 +101,7 @@
 	}
 	defer e.Die()
 	e.Hang(true)
-	all.feed.Tell(true, feed.Host{Host: "e", Dial: address, Site: "room-0", Class: "std", Health: "active"})
+	all.discovery.Tell(true, discovery.Host{Host: "e", Dial: address, Site: "room-0", Class: "std", Health: "active"})
 	time.Sleep(2 * time.Second) // until all have called for the list again
 	for n, jobs := range []int{2, 2} {
 		c, err := load.Dial(all.Processes[n].Listen)
--- a/lab/fleet/network.go
+++ b/lab/fleet/network.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"yarrowbarrow/lab/fleet/relay"
+	"yarrowbarrow/lab/standin/discovery"
 	"yarrowbarrow/lab/standin/engine"
-	"yarrowbarrow/lab/standin/feed"
 )
 
 // host is one engine process: a place among the engines is filled by another one after a replacement.
@@ -76,7 +76,7 @@
 }
 
 // seenFrom is a host as the list tells it to a room.
-func (f *fleet) seenFrom(h *host, room int, health string) feed.Host {
+func (f *fleet) seenFrom(h *host, room int, health string) discovery.Host {
 	address := h.engine.Address()
 	if len(h.relays) > 0 {
 		address = h.relays[room].Address()
@@ -85,21 +85,21 @@
 	if h.born > 0 {
 		born = f.began.Add(h.born).UnixMilli()
 	}
-	return feed.Host{Host: h.name, Dial: address, Site: h.room, Class: f.kindOf(h.place), Health: health, Born: born}
+	return discovery.Host{Host: h.name, Dial: address, Site: h.room, Class: f.kindOf(h.place), Health: health, Born: born}
 }
 
 // tellAll has the list tell every controller of a change, each as late as its list is.
 func (f *fleet) tellAll(h *host, health string) {
-	for n := range f.feeds {
+	for n := range f.discoveries {
 		tell := func() {
 			f.mu.Lock()
 			if _, was := h.told[n]; !was && health != "active" {
-				// What a silent feed has to tell counts as told when it speaks again, or 7 s later, as the protocol has it.
+				// What a silent discovery has to tell counts as told when it speaks again, or 7 s later, as the protocol has it.
 				now := time.Since(f.began)
 				h.told[n] = max(now, min(f.away[n], now+7*time.Second))
 			}
 			f.mu.Unlock()
-			f.feeds[n].Tell(false, f.seenFrom(h, n%f.Rooms, health))
+			f.discoveries[n].Tell(false, f.seenFrom(h, n%f.Rooms, health))
 		}
 		f.mu.Lock()
 		late := f.late[n]
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -18,13 +18,13 @@
 
 // Setup is the platform's configuration of one controller.
 type Setup struct {
-	Name     string          `json:"name"`
-	Listen   string          `json:"listen"`
-	Seed     string          `json:"seed"`
-	Feed     string          `json:"feed"`
-	Known    json.RawMessage `json:"known"`
-	Limits   Limits          `json:"limits"`
-	Settings any             `json:"settings"`
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Seed      string          `json:"seed"`
+	Discovery string          `json:"feed"`
+	Known     json.RawMessage `json:"known"`
+	Limits    Limits          `json:"limits"`
+	Settings  any             `json:"settings"`
 }
 
 // Limits of a controller's machine.
--- a/lab/fleet/report/report.go
+++ b/lab/fleet/report/report.go
@@ -56,7 +56,7 @@
 <figure>{{.Jobs}}<figcaption>Jobs by when they were sent: in time (green), late (yellow), turned away (orange), no answer
 (red).</figcaption></figure>
 <figure>{{.Controllers}}<figcaption>Controllers by the jobs they had (across) and the part of them done in time (up).</figcaption></figure>
-<figure>{{.Calls}}<figcaption>Connections dialled to engines (blue) and calls to the feed (grey), over the fleet.</figcaption></figure>
+<figure>{{.Calls}}<figcaption>Connections dialled to engines (blue) and calls to discovery (grey), over the fleet.</figcaption></figure>
 {{end}}</html>
 `
 
@@ -195,13 +195,13 @@
 // calls are two lines.
 func calls(p *spread.Picture, faults []fleet.Fault) template.HTML {
 	const height = 100
-	most := max(slices.Max(p.Dials), slices.Max(p.FeedCalls), 1)
+	most := max(slices.Max(p.Dials), slices.Max(p.DiscoveryCalls), 1)
 	length := p.Window * time.Duration(len(p.Jobs))
 	return draw(height, length, faults, func(s *svg.SVG) {
 		for _, line := range []struct {
 			counts []int
 			color  string
-		}{{p.FeedCalls, "#999999"}, {p.Dials, "#3366aa"}} {
+		}{{p.DiscoveryCalls, "#999999"}, {p.Dials, "#3366aa"}} {
 			var xs, ys []int
 			for w, n := range line.counts {
 				xs = append(xs, across(time.Duration(w)*p.Window+p.Window/2, length))
--- a/lab/fleet/spread/picture.go
+++ b/lab/fleet/spread/picture.go
@@ -4,12 +4,12 @@
 
 // Picture is a run over time, for plots.
 type Picture struct {
-	Window      time.Duration `json:"window_ns"`
-	Engines     [][]float64   `json:"engines"` // core time used by engine and window, over what it has
-	Jobs        []Slice       `json:"jobs"`    // by window, of when they were sent
-	Controllers []Share       `json:"controllers"`
-	Dials       []int         `json:"dials"` // by window
-	FeedCalls   []int         `json:"feed_calls"`
+	Window         time.Duration `json:"window_ns"`
+	Engines        [][]float64   `json:"engines"` // core time used by engine and window, over what it has
+	Jobs           []Slice       `json:"jobs"`    // by window, of when they were sent
+	Controllers    []Share       `json:"controllers"`
+	Dials          []int         `json:"dials"` // by window
+	DiscoveryCalls []int         `json:"discovery_calls"`
 }
 
 // Slice is what became of the jobs of one window.
@@ -27,7 +27,7 @@
 func Draw(r Run) *Picture {
 	n := max(int((r.To-r.From)/pictureWindow), 1)
 	p := &Picture{Window: pictureWindow, Engines: make([][]float64, r.Engines), Jobs: make([]Slice, n),
-		Controllers: make([]Share, r.Controllers), Dials: make([]int, n), FeedCalls: make([]int, n)}
+		Controllers: make([]Share, r.Controllers), Dials: make([]int, n), DiscoveryCalls: make([]int, n)}
 	at := func(t time.Duration) int {
 		if !r.inside(t) {
 			return -1
@@ -60,7 +60,7 @@
 			s.None++
 		}
 	}
-	for counts, times := range map[*[]int][]time.Duration{&p.Dials: r.Dials, &p.FeedCalls: r.FeedCalls} {
+	for counts, times := range map[*[]int][]time.Duration{&p.Dials: r.Dials, &p.DiscoveryCalls: r.DiscoveryCalls} {
 		for _, t := range times {
 			if w := at(t); w >= 0 {
 				(*counts)[w]++
--- a/lab/fleet/spread/spread.go
+++ b/lab/fleet/spread/spread.go
@@ -33,16 +33,16 @@
 
 // Run is what is to be told about.
 type Run struct {
-	From, To    time.Duration // what lies outside is left out
-	Engines     int
-	Cores       int   // of each, or
-	CoresOf     []int // of each by number
-	Controllers int
-	Jobs        []Job
-	Visits      []Visit
-	Dials       []time.Duration // of all controllers at all engines
-	Probes      []time.Duration
-	FeedCalls   []time.Duration
+	From, To       time.Duration // what lies outside is left out
+	Engines        int
+	Cores          int   // of each, or
+	CoresOf        []int // of each by number
+	Controllers    int
+	Jobs           []Job
+	Visits         []Visit
+	Dials          []time.Duration // of all controllers at all engines
+	Probes         []time.Duration
+	DiscoveryCalls []time.Duration
 }
 
 // Window is how evenly work came to engines in windows of one length: means over the windows in which any came.
@@ -61,22 +61,22 @@
 
 // Figures of a run.
 type Figures struct {
-	Windows   []Window `json:"windows"`
-	Herd      float64  `json:"herd"`      // variance over mean of arrivals at an engine in 50 ms, mean of engines; 1 is chance
-	HerdMost  float64  `json:"herd_most"` // of the worst engine
-	Surge     float64  `json:"surge"`     // most arrivals at an engine in 50 ms over its mean
-	Idle      float64  `json:"idle"`      // engine time with a free core while a job was held, as a share
-	Busy      float64  `json:"busy"`      // core time used, as a share
-	Stranded  float64  `json:"stranded"`  // jobs rejected while an engine had a free core, as a share of jobs
-	Rejected  float64  `json:"rejected"`  // as a share of jobs
-	InTime    float64  `json:"in_time"`   // mean of controllers
-	Worst     float64  `json:"worst"`     // in time at the worst controller
-	Lost      int      `json:"lost"`      // jobs without an answer
-	Jobs      int      `json:"jobs"`      // in the span
-	Attempt   float64  `json:"attempts"`  // a job
-	Dials     Peak     `json:"dials"`
-	Probes    Peak     `json:"probes"`
-	FeedCalls Peak     `json:"feed_calls"`
+	Windows        []Window `json:"windows"`
+	Herd           float64  `json:"herd"`      // variance over mean of arrivals at an engine in 50 ms, mean of engines; 1 is chance
+	HerdMost       float64  `json:"herd_most"` // of the worst engine
+	Surge          float64  `json:"surge"`     // most arrivals at an engine in 50 ms over its mean
+	Idle           float64  `json:"idle"`      // engine time with a free core while a job was held, as a share
+	Busy           float64  `json:"busy"`      // core time used, as a share
+	Stranded       float64  `json:"stranded"`  // jobs rejected while an engine had a free core, as a share of jobs
+	Rejected       float64  `json:"rejected"`  // as a share of jobs
+	InTime         float64  `json:"in_time"`   // mean of controllers
+	Worst          float64  `json:"worst"`     // in time at the worst controller
+	Lost           int      `json:"lost"`      // jobs without an answer
+	Jobs           int      `json:"jobs"`      // in the span
+	Attempt        float64  `json:"attempts"`  // a job
+	Dials          Peak     `json:"dials"`
+	Probes         Peak     `json:"probes"`
+	DiscoveryCalls Peak     `json:"discovery_calls"`
 }
 
 // herdWindow is short against a job and long against the ways of messages.
@@ -98,7 +98,7 @@
 		}
 	}
 	f.Herd, f.HerdMost, f.Surge = r.herd()
-	f.Dials, f.Probes, f.FeedCalls = r.peak(r.Dials), r.peak(r.Probes), r.peak(r.FeedCalls)
+	f.Dials, f.Probes, f.DiscoveryCalls = r.peak(r.Dials), r.peak(r.Probes), r.peak(r.DiscoveryCalls)
 	r.jobs(&f)
 	r.idle(&f)
 	return f
--- a/lab/fleet/standstill_test.go
+++ b/lab/fleet/standstill_test.go
@@ -13,8 +13,8 @@
 
 	"yarrowbarrow/internal/frame"
 	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/discovery"
 	"yarrowbarrow/lab/standin/engine"
-	"yarrowbarrow/lab/standin/feed"
 )
 
 // patience bounds every wait of these tests.
@@ -44,7 +44,7 @@
 "permissions":{"connect_timeout":250000000,"idle_close":15000000000,"max_attempts":3,"max_retry_after":1000000000,
 "may_cancel":true,"probes":true,"retry_after":true,"streams_per_conn":32,"open_cap":20000}}`
 
-// alone is one process of the program between a stand-in engine and a feed.
+// alone is one process of the program between a stand-in engine and discovery.
 func alone(t *testing.T, sockets int) *Process {
 	t.Helper()
 	e, err := engine.Start("127.0.0.1:0", engine.Options{Cores: 64})
@@ -52,17 +52,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Die)
-	f, err := feed.Start("127.0.0.1:0")
+	f, err := discovery.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	f.Tell(true, feed.Host{Host: "e", Dial: e.Address(), Site: "east", Class: "std", Health: "active"})
+	f.Tell(true, discovery.Host{Host: "e", Dial: e.Address(), Site: "east", Class: "std", Health: "active"})
 	address, err := FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := NewProcess(program, t.TempDir(), Setup{Name: "n", Listen: address, Seed: "1", Feed: f.Address(),
+	p := NewProcess(program, t.TempDir(), Setup{Name: "n", Listen: address, Seed: "1", Discovery: f.Address(),
 		Known: f.Since(0), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: sockets},
 		Settings: json.RawMessage(shortSettings)})
 	if err := p.Start(patience); err != nil {
@@ -137,10 +137,10 @@
 	}
 }
 
-// TestStandstillAtTheDoor: all places are taken by clients that asked once and stay. While the process stands still,
+// TestStandstillAtAdmission: all places are taken by clients that asked once and stay. While the process stands still,
 // newcomers come for whom some would have to go, and then each of those inside asks once more. No job of theirs is
 // lost: none is sent away with a job unread on its connection.
-func TestStandstillAtTheDoor(t *testing.T) {
+func TestStandstillAtAdmission(t *testing.T) {
 	t.Parallel()
 	p := alone(t, 64)
 	var inside []*guest
--- a/lab/standin/feed/feed.go
+++ b/lab/standin/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package feed is a stand-in for the control feed: numbered events over HTTP on a loopback address, answered at once
+// Package discovery is a stand-in for discovery: numbered events over HTTP on a loopback address, answered at once
 // when there are newer ones and else when the wait is over.
-package feed
+package discovery
 
 import (
 	"bufio"
@@ -27,8 +27,8 @@
 	Born   int64  `json:"born_ms"`
 }
 
-// Feed is one stand-in. Its methods may be called from anywhere.
-type Feed struct {
+// Discovery is one stand-in. Its methods may be called from anywhere.
+type Discovery struct {
 	ln net.Listener
 
 	mu     sync.Mutex
@@ -41,12 +41,12 @@
 }
 
 // Start listens on an address; port 0 picks one.
-func Start(address string) (*Feed, error) {
+func Start(address string) (*Discovery, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("stand-in feed: %w", err)
+		return nil, fmt.Errorf("stand-in discovery: %w", err)
 	}
-	f := &Feed{ln: ln, newer: make(chan struct{}), conns: map[net.Conn]bool{}}
+	f := &Discovery{ln: ln, newer: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go func() {
 		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
 			f.mu.Lock()
@@ -59,10 +59,10 @@
 }
 
 // Address is where it listens.
-func (f *Feed) Address() string { return f.ln.Addr().String() }
+func (f *Discovery) Address() string { return f.ln.Addr().String() }
 
 // Times gives when calls came, counted from a moment.
-func (f *Feed) Times(from time.Time) (at []time.Duration) {
+func (f *Discovery) Times(from time.Time) (at []time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.calls {
@@ -72,7 +72,7 @@
 }
 
 // Close ends it, with all calls.
-func (f *Feed) Close() {
+func (f *Discovery) Close() {
 	_ = f.ln.Close()
 	f.Silent(false)
 	f.mu.Lock()
@@ -84,7 +84,7 @@
 
 // serve answers the calls of one connection. It reads HTTP by itself, as the package for it would be in the memory of
 // every controller that is built with this one.
-func (f *Feed) serve(conn net.Conn) {
+func (f *Discovery) serve(conn net.Conn) {
 	defer func() {
 		_ = conn.Close()
 		f.mu.Lock()
@@ -113,7 +113,7 @@
 }
 
 // Silent has it take calls and answer none, until it is told not to: what was asked meanwhile is answered then.
-func (f *Feed) Silent(yes bool) {
+func (f *Discovery) Silent(yes bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if yes && !f.silent {
@@ -125,7 +125,7 @@
 }
 
 // wait is over when it is not silent.
-func (f *Feed) wait() {
+func (f *Discovery) wait() {
 	f.mu.Lock()
 	silent, spoken := f.silent, f.spoken
 	f.mu.Unlock()
@@ -135,7 +135,7 @@
 }
 
 // Tell adds an event: the whole list, or what changed.
-func (f *Feed) Tell(whole bool, hosts ...Host) {
+func (f *Discovery) Tell(whole bool, hosts ...Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := len(f.events) + 1
@@ -149,13 +149,13 @@
 }
 
 // Since is the text of the events behind a number, as known in a configuration.
-func (f *Feed) Since(last int) json.RawMessage {
+func (f *Discovery) Since(last int) json.RawMessage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.since(last)
 }
 
-func (f *Feed) since(last int) json.RawMessage {
+func (f *Discovery) since(last int) json.RawMessage {
 	raw, _ := json.Marshal(map[string]any{"n": len(f.events), "events": f.events[min(max(last, 0), len(f.events)):]})
 	return raw
 }
@@ -167,7 +167,7 @@
 const mostWait = 5 * time.Second
 
 // answer gives the text for a call, or nil for one that is none.
-func (f *Feed) answer(target string) []byte {
+func (f *Discovery) answer(target string) []byte {
 	called, err := url.Parse(target)
 	if err != nil || called.Path != "/v1/events" {
 		return nil
