--- a/config/settings.go
+++ b/config/settings.go
@@ -163,17 +163,17 @@
 	return s.Book.Engine(thin.Location(location), thin.Kind(kind))
 }
 
-// Module makes the decision module with homes dealt by decide/spread, the limits of decide/limit, and what decide/thin makes
+// Module makes the decision module with subsets dealt by decide/spread, the limits of decide/limit, and what decide/thin makes
 // of few answers.
 func Module(host logic.Host, s logic.Settings, seed int64) *logic.Controller {
 	s.Limits, s.Slowness = newLimits(s), slowness{thin.New()}
-	s.Order = func(up []logic.Home, homes int) []logic.Home {
-		list, at := make([]spread.Engine, len(up)), make(map[spread.EngineID]logic.Home, len(up))
+	s.Order = func(up []logic.Candidate, size int) []logic.Candidate {
+		list, at := make([]spread.Engine, len(up)), make(map[spread.EngineID]logic.Candidate, len(up))
 		for n, e := range up {
 			list[n] = spread.Engine{ID: spread.EngineID(e.ID), Location: spread.Location(e.Location), Capacity: e.Cores}
 			at[list[n].ID] = e
 		}
-		for n, id := range spread.Order(list, s.Controllers, s.Number, homes) {
+		for n, id := range spread.Order(list, s.Controllers, s.Number, size) {
 			up[n] = at[id]
 		}
 		return up
--- a/decide/limit/fleet_test.go
+++ b/decide/limit/fleet_test.go
@@ -11,7 +11,7 @@
 	"yarrowbarrow/decide/spread"
 )
 
-// coldDay is a fleet at an engine that starts cold: who has it for a home, when each hears of the start, whose clocks are
+// coldDay is a fleet at an engine that starts cold: who has it in its subset, when each hears of the start, whose clocks are
 // wrong, who is restarted and knows nothing of what it sent, and how much each has to send.
 type coldDay struct {
 	controllers, engines int
@@ -29,7 +29,7 @@
 	for n := range d.engines {
 		list = append(list, spread.Engine{ID: spread.EngineID(rune('a' + n)), Location: "here", Capacity: 4})
 	}
-	homes := max(1, min(d.engines, int(math.Ceil(3*4*float64(d.engines)/float64(1+d.controllers)/2))))
+	size := max(1, min(d.engines, int(math.Ceil(3*4*float64(d.engines)/float64(1+d.controllers)/2))))
 	type sender struct {
 		*Engine
 		hears, skew time.Duration
@@ -42,11 +42,11 @@
 		if rng.Intn(10) == 0 { // a list that lacks another engine
 			seen = list[:max(1, len(list)-1)]
 		}
-		order := spread.Order(append([]spread.Engine(nil), seen...), d.controllers, n, homes)
+		order := spread.Order(append([]spread.Engine(nil), seen...), d.controllers, n, size)
 		share := 0.0
-		for _, id := range order[:min(homes, len(order))] {
+		for _, id := range order[:min(size, len(order))] {
 			if id == list[0].ID {
-				share = math.Min(1, float64(homes)/float64(len(seen)))
+				share = math.Min(1, float64(size)/float64(len(seen)))
 			}
 		}
 		e := New(set).Engine(4)
--- a/decide/spread/deal.go
+++ b/decide/spread/deal.go
@@ -1,11 +1,11 @@
-// Package spread decides in which order a controller has engines for its homes, so that a fleet whose controllers do not
+// Package spread decides in which order a controller has engines for its subset, so that a fleet whose controllers do not
 // talk uses all engines alike. It knows a controller's number, how many there are, and the list. It does no I/O and asks
 // no clock.
 //
-// Its promises, for controllers that hold the same list and deal the same number of homes: every engine is home to the
-// same number of controllers, within one, or to as many as its part of all capacity; no controller has an engine twice; a controller's homes follow the engines over
-// locations; a change of one engine moves few homes beside its own. Fewer homes are the first of them, and more are the
-// engines behind, both by chance of each controller's own.
+// Its promises, for controllers that hold the same list and deal subsets of the same size: every engine is in those of the
+// same number of controllers, within one, or to as many as its part of all capacity; no controller has an engine twice; a
+// controller's subset follows the engines over locations; a change of one engine moves little beside its own. A smaller subset
+// is the first of it, and a larger one goes on with the engines behind, both by chance of each controller's own.
 package spread
 
 import (
@@ -42,7 +42,7 @@
 	return mix(h.Sum64())
 }
 
-// Order gives the engines in the order in which one of so many controllers has them for homes. So many of them are dealt
+// Order gives the engines in the order in which one of so many controllers has them for its subset. So many of them are dealt
 // for the whole fleet, as what one may take hangs on what the others do: a fraction of a millisecond for hundreds of
 // controllers, some for thousands, once for a list.
 func Order(engines []Engine, controllers, number, dealt int) []EngineID {
@@ -76,11 +76,11 @@
 	weights []float64 // capacities, the mean being 1
 	rooms   [][]int   // engines by location, locations by name
 	weight  []float64 // of each room
-	hands   [][]int   // homes by controller
+	hands   [][]int   // subsets by controller
 	left    []int     // controllers that an engine still takes
 }
 
-func deal(list []Engine, controllers, homes int) *dealing {
+func deal(list []Engine, controllers, size int) *dealing {
 	d := &dealing{engines: slices.Clone(list), hands: make([][]int, max(controllers, 1))}
 	keys := make(map[EngineID]uint64, len(list))
 	for _, e := range list {
@@ -109,16 +109,16 @@
 		}
 		d.weight = append(d.weight, sum)
 	}
-	homes = min(max(homes, 0), len(d.engines))
-	d.allow(homes * len(d.hands))
+	size = min(max(size, 0), len(d.engines))
+	d.allow(size * len(d.hands))
 	// Rounds, and not always in the same order, so that the last controllers are not left with what all others passed over.
-	for round := range homes {
+	for round := range size {
 		for n := range d.hands {
 			k := n
 			if round%2 == 1 {
 				k = len(d.hands) - 1 - n
 			}
-			d.take(k, d.room(k, round, homes))
+			d.take(k, d.room(k, round, size))
 		}
 	}
 	return d
@@ -189,11 +189,11 @@
 	}
 }
 
-// room gives the location of a controller's next home: its homes stand in equal steps along the line of all engines, from
+// room gives the location of a controller's next engine: its subset stands in equal steps along the line of all engines, from
 // a place of its own on. The places are spread by the golden ratio, evenly for any number of controllers.
-func (d *dealing) room(k, round, homes int) int {
+func (d *dealing) room(k, round, size int) int {
 	_, start := math.Modf(float64(k) * math.Phi)
-	at := (float64(round) + start) / float64(homes) * float64(len(d.engines))
+	at := (float64(round) + start) / float64(size) * float64(len(d.engines))
 	for r, weight := range d.weight {
 		if at -= weight; at < 0 {
 			return r
--- a/decide/spread/deal_test.go
+++ b/decide/spread/deal_test.go
@@ -25,15 +25,15 @@
 	return engines
 }
 
-// TestEven: every engine has the same number of homes within one, no controller one twice, and all have as many.
+// TestEven: every engine is in as many subsets within one, no controller one twice, and all have as many.
 func TestEven(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := list(rapid.IntRange(1, 120).Draw(t, "engines"), rapid.IntRange(1, 4).Draw(t, "rooms"))
-		controllers, homes := rapid.IntRange(1, 150).Draw(t, "controllers"), rapid.IntRange(1, 9).Draw(t, "homes")
-		d := deal(engines, controllers, homes)
+		controllers, size := rapid.IntRange(1, 150).Draw(t, "controllers"), rapid.IntRange(1, 9).Draw(t, "size")
+		d := deal(engines, controllers, size)
 		count := make([]int, len(engines))
 		for k, hand := range d.hands {
-			if want := min(homes, len(engines)); len(hand) != want || len(distinct(hand)) != want {
+			if want := min(size, len(engines)); len(hand) != want || len(distinct(hand)) != want {
 				t.Fatalf("controller %d has %v, %d are wanted", k, hand, want)
 			}
 			for _, e := range hand {
@@ -41,24 +41,24 @@
 			}
 		}
 		if slices.Max(count) > slices.Min(count)+1 {
-			t.Fatal("homes by engine: ", count)
+			t.Fatal("subsets by engine: ", count)
 		}
 	})
 }
 
-// TestCapacity: engines have homes by capacity, within one, and none has a controller twice though it is larger than all
+// TestCapacity: engines are in subsets by capacity, within one, and none has a controller twice though it is larger than all
 // others together.
 func TestCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := list(rapid.IntRange(1, 60).Draw(t, "engines"), rapid.IntRange(1, 3).Draw(t, "rooms"))
-		controllers, homes := rapid.IntRange(1, 100).Draw(t, "controllers"), rapid.IntRange(1, 6).Draw(t, "homes")
+		controllers, size := rapid.IntRange(1, 100).Draw(t, "controllers"), rapid.IntRange(1, 6).Draw(t, "size")
 		for n := range engines {
 			engines[n].Capacity = rapid.SampledFrom([]float64{4, 8, 16, 400}).Draw(t, "cores")
 		}
-		d := deal(engines, controllers, homes)
+		d := deal(engines, controllers, size)
 		count, dealt := make([]float64, len(engines)), 0.0
 		for k, hand := range d.hands {
-			if want := min(homes, len(engines)); len(hand) != want || len(distinct(hand)) != want {
+			if want := min(size, len(engines)); len(hand) != want || len(distinct(hand)) != want {
 				t.Fatalf("controller %d has %v, %d are wanted", k, hand, want)
 			}
 			for _, e := range hand {
@@ -120,7 +120,7 @@
 	}
 }
 
-// TestRooms: with a room lost, nobody is without a home: homes lie in locations as engines do.
+// TestRooms: with a room lost, nobody is without an engine: subsets lie in locations as engines do.
 func TestRooms(t *testing.T) {
 	engines := list(80, 2)
 	d := deal(engines, 300, 4)
@@ -135,7 +135,7 @@
 	}
 }
 
-// moved counts homes that a change of the list moves, beside those on engines that went.
+// moved counts engines of subsets that a change of the list moves, beside those on engines that went.
 func moved(before, after func(k int) []EngineID, controllers int, gone EngineID) (n int) {
 	for k := range controllers {
 		now := after(k)
@@ -148,18 +148,18 @@
 	return n
 }
 
-// window is the way before: homes are neighbours in the order of ids, from a place by number.
-func window(engines []Engine, controllers, homes int) func(k int) []EngineID {
+// window is the way before: subsets are neighbours in the order of ids, from a place by number.
+func window(engines []Engine, controllers, size int) func(k int) []EngineID {
 	return func(k int) (own []EngineID) {
-		for n := range homes {
+		for n := range size {
 			own = append(own, engines[(k*len(engines)/controllers+n)%len(engines)].ID)
 		}
 		return own
 	}
 }
 
-func dealt(engines []Engine, controllers, homes int) func(k int) []EngineID {
-	d := deal(engines, controllers, homes)
+func dealt(engines []Engine, controllers, size int) func(k int) []EngineID {
+	d := deal(engines, controllers, size)
 	return func(k int) (own []EngineID) {
 		for _, e := range d.hands[k] {
 			own = append(own, d.engines[e].ID)
@@ -168,17 +168,17 @@
 	}
 }
 
-// TestMoves: one engine of 80 goes, for each of them; homes of 300 controllers that move without need, of 1,200, and
-// pairs of controllers that share all homes.
+// TestMoves: one engine of 80 goes, for each of them; engines in subsets of 300 controllers that move without need, of 1,200, and
+// pairs of controllers that share all of them.
 func TestMoves(t *testing.T) {
-	const controllers, homes = 300, 4
+	const controllers, size = 300, 4
 	engines := list(80, 2)
 	slices.SortFunc(engines, func(a, b Engine) int { return len(a.ID) - len(b.ID) })
 	mean := func(way func([]Engine, int, int) func(int) []EngineID) float64 {
 		total := 0
 		for n, e := range engines {
 			without := slices.Delete(slices.Clone(engines), n, n+1)
-			total += moved(way(engines, controllers, homes), way(without, controllers, homes), controllers, e.ID)
+			total += moved(way(engines, controllers, size), way(without, controllers, size), controllers, e.ID)
 		}
 		return float64(total) / float64(len(engines))
 	}
@@ -193,10 +193,10 @@
 		return n
 	}
 	dealtMoves, windowMoves := mean(dealt), mean(window)
-	dealtTwins, windowTwins := twins(dealt(engines, controllers, homes)), twins(window(engines, controllers, homes))
-	t.Logf("moved %.1f (window %.1f) of 1200; pairs with the same homes %d (%d)", dealtMoves, windowMoves, dealtTwins, windowTwins)
+	dealtTwins, windowTwins := twins(dealt(engines, controllers, size)), twins(window(engines, controllers, size))
+	t.Logf("moved %.1f (window %.1f) of 1200; pairs with the same subset %d (%d)", dealtMoves, windowMoves, dealtTwins, windowTwins)
 	if dealtMoves > windowMoves || dealtTwins > windowTwins/10 {
-		t.Errorf("moved %.1f (window %.1f), pairs with the same homes %d (%d)", dealtMoves, windowMoves, dealtTwins, windowTwins)
+		t.Errorf("moved %.1f (window %.1f), pairs with the same subset %d (%d)", dealtMoves, windowMoves, dealtTwins, windowTwins)
 	}
 }
 
--- a/decide/thin/thin.go
+++ b/decide/thin/thin.go
@@ -62,7 +62,7 @@
 	return &Engine{book: b, like: b.alike[key]}
 }
 
-// An engine's mean spans about a bound's worth of its answers; those over many engines are quick, as congestion of the
+// An engine's mean spans about a limit's worth of its answers; those over many engines are quick, as congestion of the
 // fleet has to be seen soon; what tells them apart is learned over a minute of a busy controller's answers.
 const ownSpan, manySpan, learnSpan = 20, 10, 300
 
--- a/lab/fleet/rules_test.go
+++ b/lab/fleet/rules_test.go
@@ -25,7 +25,7 @@
 			o.Length = 5 * time.Second
 			o.Faults = []Fault{{What: "replace", Share: 0.5, At: 500 * time.Millisecond, For: 500 * time.Millisecond}}
 		}},
-		{"random", func(a Audit) int { return a.Felled }, func(o *Options) { // rule 4: ours without its guard still has its bounds
+		{"random", func(a Audit) int { return a.Felled }, func(o *Options) { // rule 4: ours without its guard still has its limits
 			o.Length, o.PerSecond = 4*time.Second, 60
 			o.Faults = []Fault{{What: "lose", Share: 0.5, At: 500 * time.Millisecond, For: 500 * time.Millisecond}}
 		}},
--- a/logic/helper_test.go
+++ b/logic/helper_test.go
@@ -71,7 +71,7 @@
 	if change != nil {
 		change(&s)
 	}
-	s.Order = func(up []Home, _ int) []Home { // neighbours, from places by number
+	s.Order = func(up []Candidate, _ int) []Candidate { // neighbours, from places by number
 		at := s.Number * len(up) / s.Controllers
 		return slices.Concat(up[at:], up[:at])
 	}
@@ -120,7 +120,7 @@
 // fill leaves an engine no room with one wide job.
 func (h *bench) fill(e EngineID, n int) {
 	h.take("fill", "report", "", 20*time.Second)
-	h.c.byID[e].bound = 4
+	h.c.byID[e].limit = 4
 }
 
 // learn has enough lookups and reports answered that the module knows their latency.
--- a/logic/host.go
+++ b/logic/host.go
@@ -93,7 +93,7 @@
 type EngineLimit interface {
 	Started(since time.Duration) // 0 for long ago
 	Cold(now time.Duration) bool
-	Allows(now, work time.Duration, share float64) bool // share of all controllers' homes that the engine has
+	Allows(now, work time.Duration, share float64) bool // share of all controllers' subsets that the engine is in
 	Sent(now, work time.Duration, share float64)
 }
 
@@ -221,24 +221,24 @@
 	BudgetWindow   time.Duration
 	BudgetFree     float64
 	BudgetShare    float64
-	// Order gives engines in the order in which this controller has them for homes, so many of which are dealt for the
-	// whole fleet; nil: as they are.
-	Order func(up []Home, homes int) []Home
+	// Order gives engines in the order in which this controller has them for its subset, of which so many are dealt
+	// for the whole fleet; nil: as they are.
+	Order func(up []Candidate, size int) []Candidate
 	// These begin with the module.
 	Limits   Limits
 	Slowness Slowness
 }
 
-// Home is an engine that may be one.
-type Home struct {
+// Candidate is an engine that may be in a subset.
+type Candidate struct {
 	ID       EngineID
 	Location Location
 	Cores    float64
 }
 
-func (s *Settings) order(up []Home, homes int) []Home {
+func (s *Settings) order(up []Candidate, size int) []Candidate {
 	if s.Order == nil {
 		return up
 	}
-	return s.Order(up, homes)
+	return s.Order(up, size)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	line            *line
 	seq, sent       int
 	level           int           // its turn, when last ranked, as are
-	work, worth     float64       // the thread time it keeps a bound busy, and the value for that
+	work, worth     float64       // the thread time it keeps a limit busy, and the value for that
 	taken, d, freed time.Duration // d is the deadline; freed when its last attempt was over
 	slack           time.Duration
 	cost, memory    float64 // as told, in ns and MB, or 0
@@ -80,15 +80,15 @@
 	listed          bool // seen in the list being read
 	since           time.Duration
 	cores, memoryMB float64
-	bound, threads  float64 // threads this controller may have there, and has
-	dealt           float64 // the bound, dealt out by whole jobs
+	limit, threads  float64 // its concurrency limit, in threads of this controller; those it has
+	dealt           float64 // the limit, dealt out by whole jobs
 	slow            EngineSlowness
 	out             []*job
-	limit           EngineLimit   // of rule 4
+	coldLimit       EngineLimit   // of rule 4
 	errors          float64       // share of late
 	full, reported  float64       // memory granted, as last reported, and when in s
 	answered        time.Duration // when an answer last came
-	silent, rank    int           // attempts that ended without one since; among this controller's homes
+	silent, rank    int           // attempts that ended without one since; in this controller's subset
 	suspected       bool
 	trial, wait     time.Duration // when a trial job may go, and the wait before it
 }
@@ -114,9 +114,9 @@
 	shortest               time.Duration // least latency target
 	many                   float64       // controllers
 	up, cores, cold        float64       // engines that take jobs, their cores, and those of them that are cold
-	homes, entire          float64       // engines that the bounds are dealt out to; all bounds
-	bound, threads         float64       // as an engine's, over all in use; a cold one's bound is what it has
-	credit                 float64       // thread seconds of the bounds left unused of late, when metered
+	subset, entire         float64       // engines that the limits are dealt out to; all limits
+	limit, threads         float64       // as an engine's, over all in use; a cold one's limit is what it has
+	credit                 float64       // thread seconds of the limits left unused of late, when metered
 	metered                time.Duration
 	under                  mean // answers that took far less than their told cost
 	slow, full             mean // latency over the best, and memory granted, over all engines
@@ -164,17 +164,17 @@
 		if n := slices.IndexFunc(c.set.Kinds, func(k EngineKind) bool { return k.Name == kind }); n >= 0 {
 			e.cores, e.memoryMB = c.set.Kinds[n].Cores, c.set.Kinds[n].MemoryMB
 		}
-		e.limit, e.slow = c.limits.Engine(e.cores), c.set.Slowness.Engine(location, kind)
-		e.limit.Started(since)
-		c.startBound(e)
+		e.coldLimit, e.slow = c.limits.Engine(e.cores), c.set.Slowness.Engine(location, kind)
+		e.coldLimit.Started(since)
+		c.startLimit(e)
 	}
 	if since > e.since || (e.state != Up && health == Up) {
 		// Started anew: what was learned of the process is void, and a start is as good as a trial.
 		e.since = max(since, e.since)
-		e.limit.Started(e.since)
+		e.coldLimit.Started(e.since)
 		c.host.Suspects(e.id, false)
 		e.suspected, e.errors, e.wait = false, 0, 0
-		c.startBound(e)
+		c.startLimit(e)
 	}
 	e.location, e.kind, e.cell, e.state, e.listed = location, kind, cell, health, true
 }
@@ -190,21 +190,21 @@
 		}
 		return c.byID[e.id] == nil
 	})
-	c.rankHomes()
+	c.rankSubset()
 	c.release()
 }
 
-// rankHomes has homes dealt anew to all controllers, as many as the bounds of a start have room for.
-func (c *Controller) rankHomes() {
-	var up []Home
+// rankSubset has subsets of the engines dealt anew to all controllers, as wide as the limits of a start ask.
+func (c *Controller) rankSubset() {
+	var up []Candidate
 	room := 0.0
 	for _, e := range c.engines {
 		if e.state == Up {
-			up, room = append(up, Home{e.id, e.location, e.cores}), room+e.cores*startThreads/(1+c.many)
+			up, room = append(up, Candidate{e.id, e.location, e.cores}), room+e.cores*startThreads/(1+c.many)
 		}
 	}
-	for n, home := range c.set.order(up, int(math.Ceil(room/c.widest))) {
-		c.byID[home.ID].rank = n
+	for n, to := range c.set.order(up, int(math.Ceil(room/c.widest))) {
+		c.byID[to.ID].rank = n
 	}
 }
 
@@ -212,9 +212,9 @@
 // the work on disks, and twice that for many, whose needs do not fall together.
 const startThreads = 3.0
 
-func (c *Controller) startBound(e *engine) {
+func (c *Controller) startLimit(e *engine) {
 	e.slow.Anew()
-	e.bound = e.cores * startThreads / (1 + c.many)
+	e.limit = e.cores * startThreads / (1 + c.many)
 }
 
 func (c *Controller) JobTaken(now time.Duration, id JobID, name ClassName, cust CustomerID, key Key,
@@ -356,64 +356,64 @@
 	}
 }
 
-// fleet sums up the engines in use and what of their bounds was left unused of late, as credit. When most are
+// fleet sums up the engines in use and what of their limits was left unused of late, as credit. When most are
 // suspected, a cause common to them is likelier than as many faults; all are used. Credit guards against the
-// narrow bounds of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
+// narrow limits of many controllers when jobs bunch; there is none in congestion, and a little may be owed.
 // It is a thread a core over all controllers: more of it, saved up by all, tipped engines as a burst began.
-// Cold engines are left to their limits: guards the others against jobs for which only the cold have bounds.
+// Cold engines are left to rule 4: guards the others against jobs for which only the cold have limits.
 func (c *Controller) fleet() {
 	most := math.Min(c.widest, c.cores/c.many) * math.Min(1, 8*math.Max(0, 1.25-c.slow.value))
-	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.bound-c.threads)*(c.now-c.metered).Seconds(), most))
-	var bad, badBound, badThreads float64
-	c.metered, c.up, c.cores, c.cold, c.entire, c.bound, c.threads = c.now, 0, 0, 0, 0, 0, 0
+	c.credit = math.Max(-0.3*c.widest, math.Min(c.credit+(c.limit-c.threads)*(c.now-c.metered).Seconds(), most))
+	var bad, badLimit, badThreads float64
+	c.metered, c.up, c.cores, c.cold, c.entire, c.limit, c.threads = c.now, 0, 0, 0, 0, 0, 0
 	for _, e := range c.engines {
 		if e.state != Up {
 			continue
 		}
-		bound := e.bound
-		if e.limit.Cold(c.now) {
-			c.cold, bound = c.cold+1, e.threads
+		limit := e.limit
+		if e.coldLimit.Cold(c.now) {
+			c.cold, limit = c.cold+1, e.threads
 		}
-		c.up, c.cores, c.entire = c.up+1, c.cores+e.cores, c.entire+e.bound
-		c.bound, c.threads = c.bound+bound, c.threads+e.threads
+		c.up, c.cores, c.entire = c.up+1, c.cores+e.cores, c.entire+e.limit
+		c.limit, c.threads = c.limit+limit, c.threads+e.threads
 		if e.suspected {
-			bad, badBound, badThreads = bad+1, badBound+bound, badThreads+e.threads
+			bad, badLimit, badThreads = bad+1, badLimit+limit, badThreads+e.threads
 		}
 	}
 	if c.common = 3*bad > 2*c.up; !c.common {
-		c.bound, c.threads = c.bound-badBound, c.threads-badThreads
+		c.limit, c.threads = c.limit-badLimit, c.threads-badThreads
 	}
 }
 
-// roomFor guards against many controllers that each put one job on every engine: where bounds are under a
+// roomFor guards against many controllers that each put one job on every engine: where limits are under a
 // thread, all that is out keeps to their sum and the credit, or is one job, and one that passes wider ones.
 // When engines are lost one each is too much: at twice the best latency a wide one waits for what is owed.
 func (c *Controller) roomFor(threads float64) bool {
 	if c.threads == 0 {
-		return c.credit >= 0 || c.slow.value < 2 || threads <= math.Max(c.bound, 1)
+		return c.credit >= 0 || c.slow.value < 2 || threads <= math.Max(c.limit, 1)
 	}
-	return c.threads+threads/2 <= c.bound+math.Max(c.credit, 0) ||
+	return c.threads+threads/2 <= c.limit+math.Max(c.credit, 0) ||
 		!slices.ContainsFunc(c.engines, func(e *engine) bool {
 			return slices.ContainsFunc(e.out, func(j *job) bool { return j.class.Threads <= threads })
 		})
 }
 
-// deal guards against bounds narrower than a job, which are none: they are dealt out anew to so few engines
-// as have room for the widest job each, the homes, of which none drains.
+// deal guards against limits narrower than a job, which are none: they are dealt out anew to so few engines
+// as have room for the widest job each, the subset, of which none drains.
 func (c *Controller) deal() {
-	c.homes = math.Max(1, math.Min(math.Ceil(c.entire/c.widest), c.up))
-	part := c.homes / c.cores // of all controllers that a core has
-	if c.homes == c.up {
+	c.subset = math.Max(1, math.Min(math.Ceil(c.entire/c.widest), c.up))
+	part := c.subset / c.cores // of all controllers that a core has
+	if c.subset == c.up {
 		part = 1
 	}
 	for _, e := range c.engines {
-		if e.dealt = 0; e.state == Up && e.rank < int(c.homes) {
-			e.dealt = e.bound / math.Min(1, part*e.cores)
+		if e.dealt = 0; e.state == Up && e.rank < int(c.subset) {
+			e.dealt = e.limit / math.Min(1, part*e.cores)
 		}
 	}
 }
 
-// roomFor lets a wide job overlap the bound by half, or a narrow bound would never pass it.
+// roomFor lets a wide job overlap the limit by half, or a narrow limit would never pass it.
 func (e *engine) roomFor(threads float64) bool {
 	return len(e.out) == 0 || e.threads+threads/2 <= e.dealt
 }
@@ -431,10 +431,10 @@
 	waits = true
 	c.deal()
 	for _, e := range c.engines {
-		if coldOnly && !e.limit.Cold(c.now) {
+		if coldOnly && !e.coldLimit.Cold(c.now) {
 			continue
 		}
-		if !c.mayGoTo(j, e) || !e.limit.Allows(c.now, c.usualWork(j), c.share(e)) {
+		if !c.mayGoTo(j, e) || !e.coldLimit.Allows(c.now, c.usualWork(j), c.share(e)) {
 			waits = waits && (e.state != Up || !j.placed(e))
 			continue
 		}
@@ -519,13 +519,13 @@
 	return j.maybeRan[0].sent + j.class.Window - c.set.Tick
 }
 
-// share is the part of all controllers that have an engine for a home, by its cores, none where this one has
-// not.
+// share is the part of all controllers that have an engine in their subset, by its cores, none where this
+// one has not.
 func (c *Controller) share(e *engine) float64 {
 	if e.dealt == 0 {
 		return 0
 	}
-	return e.bound / e.dealt
+	return e.limit / e.dealt
 }
 
 func (c *Controller) usualWork(j *job) time.Duration {
@@ -546,7 +546,7 @@
 	j.maybeRan = append(j.maybeRan, d)
 	e.out = append(e.out, j)
 	e.threads += j.class.Threads
-	e.limit.Sent(c.now, c.usualWork(j), c.share(e))
+	e.coldLimit.Sent(c.now, c.usualWork(j), c.share(e))
 	e.trial = c.now + e.wait // read only while suspected
 	until := j.d
 	if j.class.LateValue == 0 {
@@ -670,7 +670,7 @@
 // later.
 const underOver, someUnder, farUnder = 40, 0.05, 0.65
 
-// One bad plan or wait behind a load shrinks no bound; memory granted spans about a bound's worth of answers.
+// One bad plan or wait behind a load shrinks no limit; memory granted spans about a limit's worth of answers.
 // The means of a class span learnOver jobs, seconds of a quick class.
 const mostSlow, fullOver, learnOver = 4, 20, 60
 
@@ -693,7 +693,7 @@
 	if memory > 0 && j.memory > 0 {
 		r.memory.add(memory/j.memory, learnOver)
 	}
-	// The best latency is forgotten in 60 s, or one lucky time would shrink every bound for good.
+	// The best latency is forgotten in 60 s, or one lucky time would shrink every limit for good.
 	if r.best > 0 && (j.cost > 0 || r.unit.n > 30) {
 		r.best = math.Min(r.unit.value, r.best*math.Exp((c.now-r.bestAt).Seconds()/60))
 	} else if r.unit.n >= 10 || j.cost > 0 && r.unit.n >= 5 {
@@ -724,7 +724,7 @@
 // stand still at 1.5.
 const slowTold, slowAll = 1.6, 1.07
 
-// fit widens or shrinks bounds. Target is the slowness at which one stands still; with no cost told the
+// fit widens or shrinks limits. Target is the slowness at which one stands still; with no cost told the
 // best mean is lucky and lies lower. Least, an even share of the cores, guards against starving beside
 // controllers that stay wide; most is two threads a core, and up to eight while all is quick, as some
 // controllers get several times the mean.
@@ -734,23 +734,23 @@
 	if j.cost == 0 {
 		target = 2.0
 	}
-	push := func(slow, bound float64, binds bool) float64 {
+	push := func(slow, limit float64, binds bool) float64 {
 		p := math.Max(math.Min(3*(target-slow)/target, 1), -1)
 		if p > 0 && !binds {
 			return 0
 		}
-		// about a thread for each bound's worth of answers
-		return p * math.Min(j.class.Threads/math.Max(bound, 1)/bound, 0.25)
+		// about a thread for each limit's worth of answers
+		return p * math.Min(j.class.Threads/math.Max(limit, 1)/limit, 0.25)
 	}
 	slow = math.Max(slow, math.Min(target*full/1.25, mostSlow))
 	e.slow.Answered(c.now, slow)
 	c.slow.add(slow, 10)
 	c.fleet()
-	e.bound *= 1 + push(e.slow.Slow(c.now), e.bound, e.threads+j.class.Threads+1 >= e.dealt)
-	all := 1 + push(slowAll*c.slow.value, c.bound, c.threads+j.class.Threads/2 >= c.bound)
+	e.limit *= 1 + push(e.slow.Slow(c.now), e.limit, e.threads+j.class.Threads+1 >= e.dealt)
+	all := 1 + push(slowAll*c.slow.value, c.limit, c.threads+j.class.Threads/2 >= c.limit)
 	until := most + (wide-most)*math.Max(0, math.Min(1, (1.3-c.slow.value)/0.3))
 	for _, e := range c.engines {
-		e.bound = math.Min(math.Max(e.bound*all, least*e.cores/c.many), until*e.cores*2/(1+c.many))
+		e.limit = math.Min(math.Max(e.limit*all, least*e.cores/c.many), until*e.cores*2/(1+c.many))
 	}
 }
 
@@ -825,11 +825,11 @@
 	}
 }
 
-// drain is the seconds that the held jobs keep all bounds busy, or those of a set of engines its bounds.
+// drain is the seconds that the held jobs keep all limits busy, or those of a set of engines its limits.
 func (c *Controller) drain(of *job) float64 {
-	work, bound := c.work, c.bound
+	work, limit := c.work, c.limit
 	if of.set != nil {
-		work, bound = 0, 0
+		work, limit = 0, 0
 		for _, j := range c.held {
 			if j.set == of.set {
 				work += j.work
@@ -837,11 +837,11 @@
 		}
 		for _, e := range c.engines {
 			if e.state == Up && of.placed(e) {
-				bound += e.bound
+				limit += e.limit
 			}
 		}
 	}
-	return work / 1e9 / math.Max(bound, 1)
+	return work / 1e9 / math.Max(limit, 1)
 }
 
 // shed refuses held jobs of least value for their thread time, the oldest of equals, while more is held than
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -207,7 +207,7 @@
 			}
 		}
 	})
-	run(t, "many_controllers_narrow_bounds", func(h *bench) {
+	run(t, "many_controllers_narrow_limits", func(h *bench) {
 		h.start(func(s *Settings) { s.Controllers, s.Number = 100, 7 })
 		h.up("a", "b", "c", "d")
 		h.take("wide", "report", "", 20*time.Second)
@@ -224,8 +224,8 @@
 			h.after(8 * time.Second)
 		}
 	})
-	// Half of the engines are cold: a job for which only they have bounds waits, a narrow one passes it to a cold home.
-	run(t, "cold_bounds_are_no_room_elsewhere", func(h *bench) {
+	// Half of the engines are cold: a job for which only they have limits waits, a narrow one passes it to a cold engine.
+	run(t, "cold_limits_are_no_room_elsewhere", func(h *bench) {
 		h.start(func(s *Settings) { s.Controllers, s.Number = 10, 3 })
 		h.up("a", "b", "c", "d")
 		for _, e := range []EngineID{"e", "f", "g", "h"} {
@@ -238,7 +238,7 @@
 		h.after(100 * ms)
 		h.over("wide", 0, "d", Done)
 	})
-	run(t, "memory_granted_shrinks_bounds", func(h *bench) {
+	run(t, "memory_granted_shrinks_limits", func(h *bench) {
 		h.start(nil)
 		h.up("a")
 		h.learn("a", 40)
@@ -249,22 +249,22 @@
 				h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 100*ms, 0, 1, false, nil)
 				h.c.AttemptOver(h.now, id, 0, "a", Done, 100*ms, true, 0, 0, Load{MemoryGranted: full})
 			}
-			seen[full] = h.c.byID["a"].bound > 5
+			seen[full] = h.c.byID["a"].limit > 5
 		}
 		h.trace.Reset()
-		h.say("bound above 5 with memory half granted: %v, thrice: %v", seen[0.5], seen[3])
+		h.say("limit above 5 with memory half granted: %v, thrice: %v", seen[0.5], seen[3])
 	})
-	run(t, "bound_keeps_an_even_share", func(h *bench) {
+	run(t, "limit_keeps_an_even_share", func(h *bench) {
 		h.start(func(s *Settings) { s.Controllers = 2 })
 		h.up("a")
 		h.learn("a", 40)
-		for i := range 200 { // slow for others' jobs, so that a narrower bound here would not help
+		for i := range 200 { // slow for others' jobs, so that a narrower limit here would not help
 			id := JobID(fmt.Sprint("j", i))
 			h.c.JobTaken(h.now, id, "lookup", "", "", h.now+5*time.Second, 0, 0, 1, false, nil)
 			h.c.AttemptOver(h.now, id, 0, "a", Done, 800*ms, true, 0, 0, Load{})
 		}
 		h.trace.Reset()
-		h.say("bound %.2f of 4 cores with 2 controllers", h.c.byID["a"].bound)
+		h.say("limit %.2f of 4 cores with 2 controllers", h.c.byID["a"].limit)
 	})
 	run(t, "list_refused", func(h *bench) {
 		h.start(func(s *Settings) { s.ListOnRequest = true })
@@ -276,10 +276,10 @@
 	})
 }
 
-// TestHomes: engines that drain are no homes, those that are left are homes of equally many controllers, within one.
-func TestHomes(t *testing.T) {
+// TestSubset: engines that drain are in none, those that are left are in the subsets of equally many controllers, within one.
+func TestSubset(t *testing.T) {
 	const controllers = 40
-	homes := map[EngineID]int{}
+	in := map[EngineID]int{}
 	for number := range controllers {
 		h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
 		h.start(func(s *Settings) { s.Controllers, s.Number = controllers, number })
@@ -295,29 +295,29 @@
 		own := 0
 		for _, e := range h.c.engines {
 			if e.dealt > 0 {
-				homes[e.id]++
+				in[e.id]++
 				own++
 			}
 			if e.dealt > 0 && e.state != Up {
-				t.Error(number, "has a home that drains:", e.id)
+				t.Error(number, "has one that drains:", e.id)
 			}
 		}
-		if own != int(h.c.homes) {
-			t.Error(number, "has", own, "homes of", h.c.homes)
+		if own != int(h.c.subset) {
+			t.Error(number, "has", own, "engines of", h.c.subset)
 		}
 	}
 	least, most := controllers, 0
-	for _, n := range homes {
+	for _, n := range in {
 		least, most = min(least, n), max(most, n)
 	}
-	if len(homes) != 8 || most > least+1 {
-		t.Error(homes)
+	if len(in) != 8 || most > least+1 {
+		t.Error(in)
 	}
 }
 
-// TestBoundOfTheBusy: a controller with more jobs than its even share has room for gets wider while answers are quick,
+// TestLimitOfTheBusy: a controller with more jobs than its even share has room for gets wider while answers are quick,
 // beyond two threads a core, and is back at that with the first slow ones.
-func TestBoundOfTheBusy(t *testing.T) {
+func TestLimitOfTheBusy(t *testing.T) {
 	h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
 	h.start(func(s *Settings) { s.Controllers = 10 })
 	h.up("a", "b")
@@ -342,19 +342,19 @@
 	for range 60 {
 		round(100 * ms)
 	}
-	if h.c.bound < 1.5*even || h.c.bound > 4*even+1e-9 {
-		t.Errorf("after quick answers %.2f threads, two a core are %.2f", h.c.bound, even)
+	if h.c.limit < 1.5*even || h.c.limit > 4*even+1e-9 {
+		t.Errorf("after quick answers %.2f threads, two a core are %.2f", h.c.limit, even)
 	}
 	for range 8 {
 		round(300 * ms)
 	}
-	if h.c.bound > even+1e-9 {
-		t.Errorf("after slow answers %.2f threads, two a core are %.2f", h.c.bound, even)
+	if h.c.limit > even+1e-9 {
+		t.Errorf("after slow answers %.2f threads, two a core are %.2f", h.c.limit, even)
 	}
 }
 
 // TestLeaningEstimates: told costs that are a third of the time alone for one class, and more than it for another, are no
-// congestion: a controller of many that has just begun keeps the bounds it began with. Where no class takes less than told
+// congestion: a controller of many that has just begun keeps the limits it began with. Where no class takes less than told
 // they shrink.
 func TestLeaningEstimates(t *testing.T) {
 	for _, leans := range []bool{true, false} {
@@ -371,7 +371,7 @@
 				h.c.AttemptOver(h.now, id, 0, j.out.engine.id, Done, took, true, 0, 0, Load{})
 			}
 			h.c.fleet()
-			return h.c.bound
+			return h.c.limit
 		}
 		for range 5 {
 			took := 100 * ms
@@ -380,7 +380,7 @@
 			}
 			answered("once", took)
 		}
-		began, least := h.c.bound, h.c.bound
+		began, least := h.c.limit, h.c.limit
 		for range 30 {
 			least = min(least, answered("lookup", 300*ms))
 		}
