The rig's relay waits for an accept under way before it fills its queue

Seen: relay's TestSilence failed once in three runs with the race detector and six busy cores beside it ("a connection comes up" though the link is silent), and once in thirty with twelve. Checked: fillers that find no core in their 50 ms are not it (with 5 s it failed as well). Cause: the accept loop reads that the link is heard, and goes into Accept; as Set makes it silent, an accept that is past its look at the deadline takes the filler, up to any time later, and the one place of the queue is free for who comes. deafen waits until no accept is under way. TestDeafWhileAccepting forces the order; without the wait it finds the queue filled too early.

--- a/lab/fleet/relay/relay.go
+++ b/lab/fleet/relay/relay.go
@@ -41,6 +41,8 @@
 	conns   map[net.Conn]bool
 	fillers []net.Conn // which take the places of a queue that nobody serves
 	refuses bool
+	taking  int        // accepts under way
+	took    *sync.Cond // one of them is over, or the trouble has changed
 	over    bool
 	total   int // connections so far
 }
@@ -48,6 +50,7 @@
 // Start listens on an address for a server. What chance decides, which byte a connection is reset at, follows the seed.
 func Start(address, to string, seed int64) (*Relay, error) {
 	r := &Relay{to: to, address: address, rng: rand.New(rand.NewSource(seed)), changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	r.took = sync.NewCond(&r.mu)
 	return r, r.listen()
 }
 
@@ -92,18 +95,28 @@
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
+	r.took.Broadcast()
 }
 
 func (t Trouble) silent() bool { return t.Silent[To] || t.Silent[Back] }
 
-// deafen shortens the listener's queue to one place and fills that, so that the system drops what comes.
+// fills is for a dial to a place that is free, on a machine that is busy with other things; where somebody waits to be
+// accepted there is none, and the dial fails.
+const fills = 500 * time.Millisecond
+
+// deafen shortens the listener's queue to one place and fills that, so that the system drops what comes. It waits for an
+// accept that is under way, which would take the filler and leave the place free.
 func (r *Relay) deafen() {
 	r.backlog(0)
 	_ = r.ln.SetDeadline(time.Now())
-	for range 2 {
-		if conn, err := net.DialTimeout("tcp", r.address, 50*time.Millisecond); err == nil {
-			r.fillers = append(r.fillers, conn)
-		}
+	for r.taking > 0 && r.trouble.silent() && !r.refuses && !r.over {
+		r.took.Wait()
+	}
+	if !r.trouble.silent() || r.refuses || r.over {
+		return
+	}
+	if conn, err := net.DialTimeout("tcp", r.address, fills); err == nil {
+		r.fillers = append(r.fillers, conn)
 	}
 }
 
@@ -173,6 +186,9 @@
 	for {
 		r.mu.Lock()
 		deaf, changed, over := r.trouble.silent(), r.changed, r.over || r.ln != ln
+		if !over && !deaf {
+			r.taking++
+		}
 		r.mu.Unlock()
 		if over {
 			return
@@ -182,6 +198,10 @@
 			continue
 		}
 		conn, err := ln.Accept()
+		r.mu.Lock()
+		r.taking--
+		r.took.Broadcast()
+		r.mu.Unlock()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			time.Sleep(time.Millisecond)
 			continue
--- a/lab/fleet/relay/relay_test.go
+++ b/lab/fleet/relay/relay_test.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// TestDeafWhileAccepting: silence comes while a connection is being accepted. The queue is filled only after that, as the
+// filler would be accepted too, and its place be free for others.
+func TestDeafWhileAccepting(t *testing.T) {
+	r := start(t, echo(t))
+	under := func(f func() bool) (held bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return f()
+	}
+	under(func() bool { r.taking++; return true })
+	set := make(chan bool)
+	go func() { r.Set(Trouble{Silent: [2]bool{true, false}}); close(set) }()
+	for late := time.Now().Add(patience); !under(func() bool { return r.trouble.silent() }) && time.Now().Before(late); {
+	}
+	if under(func() bool { return len(r.fillers) > 0 }) {
+		t.Error("filled while an accept is under way")
+	}
+	under(func() bool { r.taking--; r.took.Broadcast(); return true })
+	<-set
+	if !under(func() bool { return len(r.fillers) == 1 }) {
+		t.Error("not filled")
+	}
+}
+
 func TestDelay(t *testing.T) {
 	r := start(t, echo(t))
 	conn := dial(t, r)
