A job's key, tenant and repeat reach the decisions: order by key is kept on sockets

Cause: jobComes (controller/clients.go) passed an empty customer and key to the module, as the protocol's page names no field for them. A line for each field that is not known (trial) shows that clients there send key, tenant and retry, and tenant on padron-inquilinos.

The three are read, bounded at 256 bytes, and passed on; a tenant stands for the customer that routes look at. Keys that never come again were kept until no job was open (forget, logic/logic.go): they are forgotten in bunches now. TestOrderByKey, TestToldOfJob and TestKeysForgotten fail without: the second of a key is sent beside the first, the module is told nothing, 2,002 keys at the most.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -230,7 +230,7 @@
 func (k *client) heard() { k.c.admission.Heard(k.c.now, k.id) }
 
 // fields of a job, as they came.
-type fields struct{ name, id, wait, once, cost, memory, customer []byte }
+type fields struct{ name, id, wait, once, cost, memory, customer, tenant, key, retry []byte }
 
 // read takes the fields that are known, each once; others are for later versions of the protocol.
 func (f *fields) read(payload []byte) (body []byte, err error) {
@@ -250,8 +250,14 @@
 			at = &f.cost
 		case "memory":
 			at = &f.memory
-		case "customer": // which only routes look at
+		case "customer": // for routes alone, where there is no tenant
 			at = &f.customer
+		case "tenant": // of the settings, whose share the job counts to
+			at = &f.tenant
+		case "key": // jobs of one key go one at a time, in the order in which they came
+			at = &f.key
+		case "retry":
+			at = &f.retry
 		default:
 			return
 		}
@@ -284,6 +290,10 @@
 		return errors.New("once: a key is wanted")
 	case !isWord(f.once):
 		return errors.New("once: letters and digits are wanted")
+	case len(f.key) > mostName:
+		return errors.New("key: too long")
+	case len(f.tenant) > mostName:
+		return errors.New("tenant: too long")
 	case f.cost != nil && (!costOK || len(f.cost) == 0):
 		return errors.New("cost: a number is wanted")
 	case f.memory != nil && (!memoryOK || len(f.memory) == 0):
@@ -318,6 +328,10 @@
 	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.ClassName(f.name), once: string(f.once),
 		statement: append([]byte(nil), body...), priority: 1}
 	tables, customer := statement.Group(string(j.statement)), string(f.customer)
+	tenant, key, again := logic.CustomerID(f.tenant), logic.Key(f.key), len(f.retry) > 0 && string(f.retry) != "0"
+	if tenant != "" {
+		customer = string(tenant)
+	}
 	return func() {
 		k.heard()
 		switch {
@@ -360,8 +374,8 @@
 		if !c.admitted(j, customer, costMS, needMB, tables) {
 			return
 		}
-		c.logic.JobTaken(c.now, j.id, j.name, "", "", j.expires, time.Duration(costMS*float64(time.Millisecond)),
-			needMB, logic.Tables(max(tables, 0)), false, j.place)
+		c.logic.JobTaken(c.now, j.id, j.name, tenant, key, j.expires, time.Duration(costMS*float64(time.Millisecond)),
+			needMB, logic.Tables(max(tables, 0)), again, j.place)
 	}
 }
 
@@ -428,9 +442,12 @@
 			return false
 		}
 	}
-	return len(text) <= 256
+	return len(text) <= mostName
 }
 
+// mostName is the longest name or key in bytes: several times those that operators give, as it is kept with its job.
+const mostName = 256
+
 // send queues a frame with a code, at most one field and a body in parts.
 func (k *client) send(kind byte, stream uint32, code byte, field, value string, body ...[]byte) {
 	size := 2
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"strings"
@@ -337,3 +338,91 @@
 	k.gets(frame.Answer, 3, frame.Rejected, "")
 	b.c.do(func() { clear(b.c.engines["e1"].links[0].open) })
 }
+
+// TestOrderByKey: jobs of one key go to engines one at a time, in the order in which they came, also when they are read in one
+// piece; the next one goes as soon as the one before is answered, and after a connection that was lost under it only when the
+// key has rested. Jobs without a key, or of another one, pass.
+func TestOrderByKey(t *testing.T) {
+	const rest = 300 * time.Millisecond
+	e := newStandIn(t, "127.0.0.1:0")
+	b := startWith(t, "", func(cfg *config.Config) {
+		cfg.Settings.Logic.Classes[1].Ordered, cfg.Settings.Logic.KeyQuiet = true, rest
+		cfg.Settings.Logic.Classes[1].Repeat = logic.NonIdempotent
+	}, e)
+	k := b.client()
+	job := func(stream uint32, key string) []byte {
+		payload := []byte{5}
+		for _, f := range [][2]string{{"class", "load"}, {"id", fmt.Sprintf("%016x", stream)}, {"wait", "2900"}, {"key", key}, {"tenant", "t"}} {
+			payload = frame.AppendField(payload, f[0], f[1])
+		}
+		payload = append(payload, "load 1"...)
+		return append(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload...)
+	}
+	k.write(job(1, "a"), job(2, "a"), job(3, "b"), job(4, "a"))
+	serves := func(stream uint32) command {
+		t.Helper()
+		c := e.hears("serve")
+		if c.words[1] != fmt.Sprintf("%016x", stream) {
+			t.Fatal("sent on: ", c.words[1], ", wanted ", stream)
+		}
+		return c
+	}
+	first, other := e.hears("serve"), e.hears("serve") // on connections of their own, so in no order
+	if strings.HasSuffix(first.words[1], "3") {
+		first, other = other, first
+	}
+	if !strings.HasSuffix(first.words[1], "1") || !strings.HasSuffix(other.words[1], "3") {
+		t.Fatal("sent on: ", first.words[1], other.words[1])
+	}
+	first.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 1, frame.Done, rowA)
+	second := serves(2)
+	other.answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 3, frame.Done, rowB)
+	lost := time.Now()
+	second.conn.Close()
+	k.gets(frame.Answer, 2, frame.Failed, "")
+	last := serves(4)
+	if after := time.Since(lost); after < rest {
+		t.Error("the key rested for ", after)
+	}
+	last.answer("HIT", "count=1", rowA)
+	k.gets(frame.Answer, 4, frame.Done, rowA)
+}
+
+// told is a module that keeps what it was told of jobs.
+type told struct {
+	logic.Module
+	jobs chan [3]any
+}
+
+func (m told) JobTaken(now time.Duration, id logic.JobID, name logic.ClassName, customer logic.CustomerID, key logic.Key,
+	expires, cost time.Duration, memory float64, tables logic.Tables, repeat bool, place logic.Placement) {
+	m.jobs <- [3]any{customer, key, repeat}
+	m.Module.JobTaken(now, id, name, customer, key, expires, cost, memory, tables, repeat, place)
+}
+
+// TestToldOfJob: what a client tells of its job's tenant, key and repeat reaches the decisions; names that are too long are
+// refused with an answer.
+func TestToldOfJob(t *testing.T) {
+	jobs := make(chan [3]any, 10)
+	e := newStandIn(t, "127.0.0.1:0")
+	b := startWith(t, "", nil, e)
+	k := b.client()
+	b.c.do(func() { b.c.logic = told{b.c.logic, jobs} })
+	k.asks(1, "select 1", "class", "quick", "id", "0000000000000001", "wait", "2900", "tenant", "north", "key", "k 1", "retry", "1")
+	if got, want := <-jobs, [3]any{logic.CustomerID("north"), logic.Key("k 1"), true}; got != want {
+		t.Error(got, "wanted", want)
+	}
+	k.quick(2, "2900")
+	if got, want := <-jobs, [3]any{logic.CustomerID(""), logic.Key(""), false}; got != want {
+		t.Error(got, "wanted", want)
+	}
+	for n, field := range []string{"tenant", "key"} {
+		stream := uint32(3 + n)
+		k.asks(stream, "select 1", "class", "quick", "id", fmt.Sprintf("%016x", stream), "wait", "2900", field, strings.Repeat("x", mostName+1))
+		if said := k.gets(frame.Answer, stream, frame.Failed, ""); said["error"] != field+": too long" {
+			t.Error(said)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -772,14 +772,17 @@
 	}
 }
 
+// linesKept is how many lines without a job are passed over before they are looked through.
+const linesKept = 64
+
 func (c *Controller) forget(j *job) {
 	delete(c.jobs, j.id)
 	if j.line != nil {
 		j.line.jobs = without(j.line.jobs, j)
 	}
-	// A line is kept while its key may rest.
-	if len(c.jobs) == 0 {
-		maps.DeleteFunc(c.lines, func(_ Key, l *line) bool { return c.now >= l.rests })
+	// A line is kept while its key may rest. Guards the memory against keys that never come again.
+	if len(c.lines) > 2*len(c.jobs)+linesKept {
+		maps.DeleteFunc(c.lines, func(_ Key, l *line) bool { return len(l.jobs) == 0 && c.now >= l.rests })
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -428,3 +429,35 @@
 		t.Errorf("%.2f in calm, %.2f at half the speed", calm, busy)
 	}
 }
+
+// TestKeysForgotten: keys that never come again are forgotten while other jobs are open, and one that rests is kept.
+func TestKeysForgotten(t *testing.T) {
+	h := &bench{now: time.Minute, timers: map[TimerID]time.Duration{}}
+	h.start(func(s *Settings) { s.KeyQuiet = time.Hour })
+	h.up("a", "b")
+	ordered := h.c.set.Classes[slices.IndexFunc(h.c.set.Classes, func(c Class) bool { return c.Ordered })].Name
+	take := func(id JobID, key Key) bool {
+		h.c.JobTaken(h.now, id, ordered, "", key, h.now+10*time.Second, 10*ms, 0, 0, false, nil)
+		return h.c.jobs[id] != nil && h.c.jobs[id].out != nil
+	}
+	over := func(id JobID, o Outcome) {
+		if j := h.c.jobs[id]; j != nil && j.out != nil {
+			h.c.AttemptOver(h.now, id, 0, j.out.engine.id, o, 10*ms, true, 0, 0, Load{})
+		}
+	}
+	if !take("open", "stays") || !take("lost", "rests") {
+		t.Fatal("not sent")
+	}
+	over("lost", ConnectionLost)
+	most := 0
+	for n := range 2000 {
+		id := JobID(fmt.Sprint("j", n))
+		h.now += 10 * ms
+		take(id, Key(fmt.Sprint("k", n)))
+		over(id, Done)
+		most = max(most, len(h.c.lines))
+	}
+	if most > 200 || h.c.lines["stays"] == nil || h.c.lines["rests"] == nil {
+		t.Error(most, "keys at the most, open and resting ones kept:", h.c.lines["stays"] != nil, h.c.lines["rests"] != nil)
+	}
+}
