--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -8,7 +8,7 @@
 )
 
 // Audit is what went against the rules, from the wire alone; all of it is 0 where they were kept. What a client sent to a
-// controller that was killed is not counted as lost. Rule 5 is not played, as the framed protocol tells no key.
+// controller that was killed is not counted as lost. Rule 5 is not played, as no kind of jobs here goes in order by a key.
 type Audit struct {
 	Lost     int `json:"lost"`           // rule 1: jobs without an answer
 	Doubled  int `json:"answered_twice"` // rule 1: jobs, or answers to nothing that was asked
