--- a/controller/crossing_close_test.go
+++ b/controller/crossing_close_test.go
@@ -81,16 +81,21 @@
 	b.exits()
 }
 
-// TestLongDeadlineWhileLeaving: an idempotent job on an engine that hangs, with a deadline far behind the end of the process,
-// is told to be tried elsewhere, before the end, and nothing new is sent that can't be answered by then.
-func TestLongDeadlineWhileLeaving(t *testing.T) {
+// outFor is a job of a class with such a deadline, out on an engine that hangs.
+func outFor(t *testing.T, deadline time.Duration) (*bed, conn) {
+	t.Helper()
 	e := newStandIn(t, "127.0.0.1:0")
-	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Settings.Logic.Classes[0].Deadline = 20 * time.Second
-	}, e)
+	b := startWith(t, "", func(cfg *config.Config) { cfg.Settings.Logic.Classes[0].Deadline = deadline }, e)
 	k := b.client()
 	k.quick(1, "20000")
 	e.hears("serve")
+	return b, k
+}
+
+// TestLongDeadlineWhileLeaving: an idempotent job on an engine that hangs, with a deadline far behind the end of the process,
+// is told to be tried elsewhere, before the end, and nothing new is sent that can't be answered by then.
+func TestLongDeadlineWhileLeaving(t *testing.T) {
+	b, k := outFor(t, 20*time.Second)
 	b.stop()
 	k.gets(frame.NoMore, 0, 0, "")
 	b.until(func() bool { return b.c.exit != nil })
@@ -109,22 +114,12 @@
 // TestCutAfterStandstill: a process that leaves stands still past its last moment, with a job out on an engine that hangs. Its
 // deadline and the first round of the end are then due together: the job is answered by its class, and not cut.
 func TestCutAfterStandstill(t *testing.T) {
-	e := newStandIn(t, "127.0.0.1:0")
-	b := startWith(t, "", func(cfg *config.Config) {
-		cfg.Settings.Logic.Classes[0].Deadline = time.Second
-	}, e)
-	k := b.client()
-	k.quick(1, "20000")
-	e.hears("serve")
-	b.stop()
+	b, k := outFor(t, time.Second)
+	b.c.do(func() { // nothing else is done under the lock
+		b.c.drain()
+		time.Sleep(b.c.exit.Last() + 2*lastWords - b.c.clock())
+	})
 	k.gets(frame.NoMore, 0, 0, "")
-	b.until(func() bool { return b.c.exit != nil })
-	b.c.mu.Lock() // nothing is done until it is unlocked
-	if b.c.phase != Draining {
-		t.Error("too late to force the crossing: ", b.c.phase)
-	}
-	time.Sleep(b.c.exit.Last() + 2*lastWords - b.c.clock())
-	b.c.mu.Unlock()
 	k.gets(frame.Answer, 1, frame.Rejected, "")
 	b.exits()
 	if b.c.counts[cutByExit] != 0 {
