One way to a job's frame in the controller's tests; the relay asks once whether it is deaf

Cause: TestOrderByKey wrote again what asks does, as TestReloadUnderLoad had; the relay's deafen asked the same three things twice; clients.go and the baselines still called classes types; a comment in TestBrokenRules told a seventh where the rate is twelve times the one before. Change: jobFrame serves all three, deaf is one question, a tenant or else the customer is one expression, names and comments follow. No behaviour changes and no assertion does.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -327,11 +328,8 @@
 	needMB, _ := number(f.memory, mostFigure)
 	j := &job{id: logic.JobID(f.id), client: k, stream: stream, name: logic.ClassName(f.name), once: string(f.once),
 		statement: append([]byte(nil), body...), priority: 1}
-	tables, customer := statement.Group(string(j.statement)), string(f.customer)
+	tables, customer := statement.Group(string(j.statement)), cmp.Or(string(f.tenant), string(f.customer))
 	tenant, key, again := logic.CustomerID(f.tenant), logic.Key(f.key), len(f.retry) > 0 && string(f.retry) != "0"
-	if tenant != "" {
-		customer = string(tenant)
-	}
 	return func() {
 		k.heard()
 		switch {
@@ -401,12 +399,12 @@
 	return true
 }
 
-// classOf is the settings' row of a class, if there is one.
+// classOf is the class of a name, if the settings have it.
 func (c *Controller) classOf(name []byte) *logic.Class {
-	types := c.cfg.Settings.Logic.Classes
-	for n := range types {
-		if string(types[n].Name) == string(name) {
-			return &types[n]
+	classes := c.cfg.Settings.Logic.Classes
+	for n := range classes {
+		if string(classes[n].Name) == string(name) {
+			return &classes[n]
 		}
 	}
 	return nil
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -274,14 +274,19 @@
 	}
 }
 
-// asks sends a job; fields come in pairs.
-func (k conn) asks(stream uint32, body string, fields ...string) {
+// jobFrame is a job as it is sent; fields come in pairs.
+func jobFrame(stream uint32, body string, fields ...string) []byte {
 	payload := []byte{byte(len(fields) / 2)}
 	for n := 0; n < len(fields); n += 2 {
 		payload = frame.AppendField(payload, fields[n], fields[n+1])
 	}
 	payload = append(payload, body...)
-	k.write(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload)
+	return append(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload...)
+}
+
+// asks sends a job.
+func (k conn) asks(stream uint32, body string, fields ...string) {
+	k.write(jobFrame(stream, body, fields...))
 }
 
 func (k conn) quick(stream uint32, wait string) {
--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -351,12 +351,7 @@
 	}, e)
 	k := b.client()
 	job := func(stream uint32, key string) []byte {
-		payload := []byte{5}
-		for _, f := range [][2]string{{"class", "load"}, {"id", fmt.Sprintf("%016x", stream)}, {"wait", "2900"}, {"key", key}, {"tenant", "t"}} {
-			payload = frame.AppendField(payload, f[0], f[1])
-		}
-		payload = append(payload, "load 1"...)
-		return append(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload...)
+		return jobFrame(stream, "load 1", "class", "load", "id", fmt.Sprintf("%016x", stream), "wait", "2900", "key", key, "tenant", "t")
 	}
 	k.write(job(1, "a"), job(2, "a"), job(3, "b"), job(4, "a"))
 	serves := func(stream uint32) command {
--- a/controller/reload_test.go
+++ b/controller/reload_test.go
@@ -146,12 +146,8 @@
 					time.Sleep(time.Millisecond)
 				}
 				stream++
-				payload := []byte{3}
-				for _, f := range [][2]string{{"class", "quick"}, {"id", fmt.Sprintf("%08x%08x", c, stream)}, {"wait", "2500"}} {
-					payload = frame.AppendField(payload, f[0], f[1])
-				}
-				payload = append(payload, "select 1"...)
-				if _, err := conn.Write(append(frame.AppendHead(nil, frame.Job, stream, len(payload)), payload...)); err != nil {
+				job := jobFrame(stream, "select 1", "class", "quick", "id", fmt.Sprintf("%08x%08x", c, stream), "wait", "2500")
+				if _, err := conn.Write(job); err != nil {
 					t.Error(err)
 					return
 				}
--- a/decide/limit/cold.go
+++ b/decide/limit/cold.go
@@ -42,8 +42,8 @@
 // had begun before; a third more than in the mean is what coldShare leaves room for.
 const turnWidth = 0.5
 
-// Allows keeps rule 4. Of what a cold engine stands in the span, each controller that has it in its subset takes an equal part, others
-// none; share is the part of all controllers' subsets that it is in, as in engines of a subset over all. A job of more than a
+// Allows keeps rule 4. Of what a cold engine stands in the span, each controller that has it in its subset takes an equal
+// part, others none; share is the part of all controllers' subsets that it is in, as in engines of a subset over all. A job of more than a
 // part goes in turn: turns are spread by number over as many spans as it needs parts, and so many spans have to lie between
 // the start and it, and behind it; clocks need only roughly agree. Guards against controllers that a start finds with wide
 // jobs in hand: without it all in turn sent one, and all others their parts, half as much again as is meant. A start is
--- a/lab/baseline/baseline.go
+++ b/lab/baseline/baseline.go
@@ -54,9 +54,9 @@
 	}
 	return func(host logic.Host, set logic.Settings, seed int64) logic.Module {
 		p := &policy{host: host, set: set, rng: rand.New(rand.NewSource(seed)), pick: pick, engines: map[logic.EngineID]*engine{},
-			jobs: map[logic.JobID]*job{}, types: map[logic.ClassName]logic.Class{}}
+			jobs: map[logic.JobID]*job{}, classes: map[logic.ClassName]logic.Class{}}
 		for _, t := range set.Classes {
-			p.types[t.Name] = t
+			p.classes[t.Name] = t
 		}
 		p.turn = p.rng.Intn(1 << 16) // controllers start at different places
 		return p
@@ -91,7 +91,7 @@
 	engines map[logic.EngineID]*engine
 	order   []*engine // by id, so that no choice depends on a map
 	jobs    map[logic.JobID]*job
-	types   map[logic.ClassName]logic.Class
+	classes map[logic.ClassName]logic.Class
 	whole   bool
 }
 
@@ -129,7 +129,7 @@
 
 func (p *policy) JobTaken(now time.Duration, id logic.JobID, name logic.ClassName, _ logic.CustomerID, _ logic.Key,
 	expires, _ time.Duration, _ float64, _ logic.Tables, _ bool, place logic.Placement) {
-	j := &job{kind: p.types[name], expires: min(expires, now+p.types[name].Deadline), place: place}
+	j := &job{kind: p.classes[name], expires: min(expires, now+p.classes[name].Deadline), place: place}
 	p.jobs[id] = j
 	p.send(now, id, j)
 }
--- a/lab/fleet/relay/relay.go
+++ b/lab/fleet/relay/relay.go
@@ -98,6 +98,9 @@
 	r.took.Broadcast()
 }
 
+// deaf tells that it listens, and that no connection is to come up.
+func (r *Relay) deaf() bool { return r.trouble.silent() && !r.refuses && !r.over }
+
 func (t Trouble) silent() bool { return t.Silent[To] || t.Silent[Back] }
 
 // fills is for a dial to a place that is free, on a machine that is busy with other things; where somebody waits to be
@@ -109,10 +112,10 @@
 func (r *Relay) deafen() {
 	r.backlog(0)
 	_ = r.ln.SetDeadline(time.Now())
-	for r.taking > 0 && r.trouble.silent() && !r.refuses && !r.over {
+	for r.taking > 0 && r.deaf() {
 		r.took.Wait()
 	}
-	if !r.trouble.silent() || r.refuses || r.over {
+	if !r.deaf() {
 		return
 	}
 	if conn, err := net.DialTimeout("tcp", r.address, fills); err == nil {
--- a/lab/fleet/rules_test.go
+++ b/lab/fleet/rules_test.go
@@ -16,7 +16,7 @@
 	}{
 		{"without-rule-1", func(a Audit) int { return a.Lost }, func(o *Options) { o.PerSecond = 40 }},
 		// Repeats are rationed by rule 7, and one in seventeen is of a job that must not run twice: at this rate some ten, and at a
-		// seventh of it, with engines left that do not fail, one or none.
+		// twelfth of it, with engines left that do not fail, one or none.
 		{"without-rule-2", func(a Audit) int { return a.Repeated }, func(o *Options) {
 			o.PerSecond, o.Length = 100, 4*time.Second
 			o.Faults = []Fault{{What: "fail", Share: 1, At: 300 * time.Millisecond, For: 3500 * time.Millisecond}}
--- a/logic/host.go
+++ b/logic/host.go
@@ -165,7 +165,7 @@
 	Util, Waiting, MemoryGranted float64
 }
 
-// Class is the settings' row of a class.
+// Class is a class of jobs, as the settings have it.
 type Class struct {
 	Name          ClassName
 	LatencyTarget time.Duration
