--- /dev/null
+++ b/lab/fleet/memory_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"yarrowbarrow/lab/flood"
+	"yarrowbarrow/lab/load"
+	"yarrowbarrow/lab/standin/discovery"
+)
+
+// floodedMB is the limit of a process that floods come to: the least that the configuration allows, and the most of the scored days.
+var floodedMB = []int64{32, 192}
+
+// TestMemoryLimitUnderClientFloods: clients that send at full speed, or read nothing, don't have the process pass its limit.
+func TestMemoryLimitUnderClientFloods(t *testing.T) {
+	for _, limit := range floodedMB {
+		for _, f := range flood.Clients("quick") {
+			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
+				p, _, _ := between(t, 256, shortSettings, 1)
+				p.Limits.MemoryMB = limit
+				if err := p.Start(patience); err != nil {
+					t.Fatal(err)
+				}
+				var floods sync.WaitGroup
+				for range 16 {
+					floods.Add(1)
+					go func() {
+						defer floods.Done()
+						_ = f.Run(p.Listen)
+					}()
+				}
+				floods.Wait()
+				staysWithinMemory(t, p)
+			})
+		}
+	}
+}
+
+// TestMemoryLimitUnderEngineFloods: the same by engines that a request has come to.
+func TestMemoryLimitUnderEngineFloods(t *testing.T) {
+	for _, limit := range floodedMB {
+		for _, f := range flood.Engines() {
+			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
+				p, list, _ := between(t, 256, shortSettings, 0)
+				list.Tell(true, discovery.Host{Host: "e0", Dial: flooding(t, f), Site: "east", Class: "std", Health: "active"})
+				p.Limits.MemoryMB, p.Known = limit, list.Since(0)
+				if err := p.Start(patience); err != nil {
+					t.Fatal(err)
+				}
+				g := newGuest(t, p, 1)
+				for range 16 {
+					g.tries()
+				}
+				_ = g.answered()
+				staysWithinMemory(t, p)
+			})
+		}
+	}
+}
+
+// TestMemoryLimitUnderDiscoveryFloods: the same by discovery.
+func TestMemoryLimitUnderDiscoveryFloods(t *testing.T) {
+	for _, limit := range floodedMB {
+		for _, f := range flood.Discoveries() {
+			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
+				p, _, _ := between(t, 256, shortSettings, 1)
+				p.Limits.MemoryMB, p.Discovery = limit, flooding(t, f)
+				if err := p.Start(patience); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2 * time.Second)
+				staysWithinMemory(t, p)
+			})
+		}
+	}
+}
+
+// flooding is the address of a peer that answers what it reads first with a flood.
+func flooding(t *testing.T, f flood.Flood) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			go func() {
+				defer conn.Close()
+				if _, err := bufio.NewReader(conn).ReadByte(); err == nil {
+					f.Send(conn)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// tries asks for a job, whatever comes of it.
+func (g *guest) tries() {
+	g.t.Helper()
+	g.open.Add(1)
+	g.sent++
+	err := g.Ask(load.Job{Type: "quick", ID: fmt.Sprintf("%08x%08x", g.name, g.sent), Wait: time.Second, Statement: "select 1"},
+		func(load.Answer, error) { g.open.Done() })
+	if err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// staysWithinMemory tells whether a process lives, answers a new client, and never had more than its limit.
+func staysWithinMemory(t *testing.T, p *Process) {
+	t.Helper()
+	g := newGuest(t, p, 2)
+	g.tries()
+	_ = g.answered()
+	select {
+	case <-p.Ended():
+		t.Fatal("it has ended: ", p.Err(), "\n", p.Log())
+	default:
+	}
+	if peak := p.PeakMB(); peak > float64(p.Limits.MemoryMB) {
+		t.Errorf("peak memory %.0f MB, limit %d MB", peak, p.Limits.MemoryMB)
+	}
+}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -204,6 +204,21 @@
 	return p.cmd.Process.Pid
 }
 
+// PeakMB is the most memory that the present life has had resident, in MB, pages of files among it; 0 once it has ended.
+func (p *Process) PeakMB() float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, is := strings.CutPrefix(line, "VmHWM:"); is {
+			kB, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")), 64)
+			return kB / 1024
+		}
+	}
+	return 0
+}
+
 // Log is the end of what all lives wrote.
 func (p *Process) Log() string { return p.log.String() }
 
