Peers that send faster than they are handled wait in the kernel, not in the process

Cause: netpoll's poller reads whatever a peer sends as fast as it comes and calls back on another goroutine; while the callback waits for the controller's lock or a core, all goes on piling up (connection.inputAck, and link.read that took all of it at once and copied it).

Handled are 64 KiB at a time, as a call is kept for each message. After bytes that can't be read all else is passed over. Buffers of half messages count with what they take, of engines too.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -39,40 +39,39 @@
 // those beyond are closed outright. Their descriptors are of those that mostLinks keeps free.
 func mostLingering(cfg config.Config) int { return max(cfg.Sockets/64, 4) }
 
-// accept makes the object of a new connection, before any data is read; nil for one that has no place.
+// accept makes the object of a new connection; nil for one that has no place.
 func (c *Controller) accept(conn netpoll.Connection) *client {
 	k := &client{jobs: map[uint32]*job{}}
-	c.do(func() {
-		c.connected++
-		if k.id = c.connected; c.phase == Stopped || !c.admission.Came(c.now, k.id) {
-			c.counts[clientsRefused]++
-			c.turnAway(k, conn)
-			return
+	c.connected++
+	if k.id = c.connected; c.phase == Stopped || !c.admission.Came(c.now, k.id) {
+		c.counts[clientsRefused]++
+		if c.refusing >= mostLingering(c.cfg) {
+			return nil
 		}
+		c.turnAway(k, conn)
+	} else {
 		c.counts[clientsAccepted]++
 		k.link = newLink(c, conn)
-		k.shut, k.down = true, func() { k.faulty.Store(true) }
 		c.clients[k.id] = k
-		if c.phase >= Draining {
-			k.sendEmpty(frame.NoMore, 0)
-		}
-	})
-	if k.link == nil {
+	}
+	k.shut, k.down = true, func() { k.faulty.Store(true) }
+	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
+		c.do(func() { c.clientClosed(k) })
+		reading.closes(k.link)
 		return nil
+	})
+	if k.turned || c.phase >= Draining {
+		k.sendEmpty(frame.NoMore, 0)
 	}
+	reading.begin(k.link, k.onData)
 	return k
 }
 
 // turnAway guards a client that found no place against a connection that is reset under its job: it is told that none is
 // wanted, and one that it has sent is refused. Only a few are told so at once; the others are closed.
 func (c *Controller) turnAway(k *client, conn netpoll.Connection) {
-	if c.refusing >= mostLingering(c.cfg) {
-		return
-	}
 	c.refusing++
 	k.turned, k.link = true, newLink(c, conn)
-	k.shut, k.down = true, func() { k.faulty.Store(true) }
-	k.sendEmpty(frame.NoMore, 0)
 	c.at(c.now+lingers, k.end)
 }
 
@@ -147,11 +146,10 @@
 }
 
 // onData takes what a client has sent.
-func (k *client) onData(conn netpoll.Connection) error {
+func (k *client) onData() {
 	c := k.c
 	if k.faulty.Load() { // ends as soon as it has been told
-		_ = conn.Reader().Skip(conn.Reader().Len())
-		return conn.Reader().Release()
+		k.deaf.Store(true)
 	}
 	err := k.read(func(data []byte) (func(), int, error) {
 		kind, stream, payload, size, err := frame.Next(data)
@@ -168,13 +166,9 @@
 		}
 		return nil, 0, errKind
 	})
-	if err == nil && len(k.rest) > maxRest && c.held.Load() > c.cfg.MemoryMB<<20/16 {
-		err = errMemory
-	}
 	if err != nil {
 		c.do(func() { c.misread(k, err) })
 	}
-	return nil
 }
 
 // goneComes takes that a client waits for a job no more.
@@ -199,7 +193,6 @@
 	errKind   = errors.New("unknown type of frame")
 	errStream = errors.New("stream in use")
 	errHalf   = errors.New("half a frame")
-	errMemory = errors.New("too much is being sent at once")
 )
 
 // misread tells a client that its bytes make no sense, and ends the connection, as what follows can't be read. What
--- a/controller/discovery.go
+++ b/controller/discovery.go
@@ -252,11 +252,14 @@
 			return
 		}
 		l := newLink(c, conn)
-		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-			c.do(func() { f.closed(l) })
-			return nil
-		})
+		l.ownBound = true
 		c.do(func() {
+			_ = conn.AddCloseCallback(func(netpoll.Connection) error {
+				c.do(func() { f.closed(l) })
+				reading.closes(l)
+				return nil
+			})
+			reading.begin(l, func() { f.onData(l) })
 			if f.dials[number] == nil {
 				c.closeSoon(conn)
 				return
@@ -267,7 +270,6 @@
 				f.ask()
 			}
 		})
-		_ = conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return f.onData(l) })
 		if !conn.IsActive() {
 			_ = conn.Close()
 		}
@@ -336,7 +338,7 @@
 	})
 }
 
-func (f *discovery) onData(l *link) error {
+func (f *discovery) onData(l *link) {
 	c := f.c
 	err := l.read(func(data []byte) (func(), int, error) {
 		status, body, size, last, err := http1.Next(data, false)
@@ -359,7 +361,6 @@
 			}
 		})
 	}
-	return nil
 }
 
 // answered takes the answer to a call, the last on its connection or not.
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -381,12 +381,15 @@
 			return
 		}
 		l := &engineLink{link: newLink(c, conn), engine: e, open: map[logic.JobID]*attempt{}}
-		_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-			c.do(func() { c.engineClosed(l) })
-			return nil
+		c.do(func() {
+			_ = conn.AddCloseCallback(func(netpoll.Connection) error {
+				c.do(func() { c.engineClosed(l) })
+				reading.closes(l.link)
+				return nil
+			})
+			reading.begin(l.link, l.onData)
+			c.dialed(e, n, l, nil)
 		})
-		c.do(func() { c.dialed(e, n, l, nil) })
-		_ = conn.SetOnRequest(func(context.Context, netpoll.Connection) error { return l.onData() })
 		if !conn.IsActive() { // ended before there was a callback to tell
 			_ = conn.Close()
 		}
@@ -537,7 +540,7 @@
 }
 
 // onData reads answers of an engine in place.
-func (l *engineLink) onData() error {
+func (l *engineLink) onData() {
 	c := l.c
 	var words [][]byte
 	err := l.read(func(data []byte) (call func(), size int, err error) {
@@ -553,7 +556,6 @@
 	if err != nil {
 		c.do(func() { c.spoilt(l, err) })
 	}
-	return nil
 }
 
 var (
--- a/controller/link.go
+++ b/controller/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,15 +16,18 @@
 // the connection, not of a job: netpoll's Flush waits while the peer's window is full, and whoever queues
 // output holds the lock or serves other connections. All that gathers meanwhile goes out in one gathered write.
 type link struct {
-	c    *Controller
-	conn netpoll.Connection
-	rest []byte
-	wake chan struct{}
-	shut bool         // ends by shutting its side first
-	down func()       // is called right before that, under the link's own lock; nil for nothing
-	busy atomic.Bool  // a read waits for the controller's lock, with what netpoll's buffer no longer shows
-	half atomic.Int64 // when the message that is not whole yet began, by the controller's clock, or 0
-	came atomic.Int64 // when bytes last came, by the same clock
+	c        *Controller
+	conn     netpoll.Connection
+	rest     []byte
+	kept     int // bytes of memory that rest is counted with
+	wake     chan struct{}
+	shut     bool         // ends by shutting its side first
+	ownBound bool         // what it keeps of a message has a bound of its own, and is not counted with that of others
+	down     func()       // is called right before that, under the link's own lock; nil for nothing
+	busy     atomic.Bool  // a read waits for the controller's lock, with what netpoll's buffer no longer shows
+	deaf     atomic.Bool  // it said what can't be read: whatever else comes is passed over
+	half     atomic.Int64 // when the message that is not whole yet began, by the controller's clock, or 0
+	came     atomic.Int64 // when bytes last came, by the same clock
 
 	mu            sync.Mutex
 	pending       []message
@@ -113,7 +117,8 @@
 	l.mu.Lock()
 	l.over = true
 	l.keep(-l.unsent)
-	l.c.held.Add(-int64(len(l.rest)))
+	l.c.held.Add(-int64(l.kept))
+	l.kept = 0
 	l.signal()
 	l.mu.Unlock()
 }
@@ -330,20 +335,40 @@
 // maxRest is what an idle connection may keep of a buffer for messages in parts.
 const maxRest = 16 << 10
 
-// read takes all that has come, as netpoll calls again at once while anything is left. next reads one message in place and gives
-// its size, 0 while it is not whole, and the call that it leads to. All calls are made under one hold of the controller's lock,
-// before the bytes are given back: from its begin on nothing of what was read lies unread.
-func (l *link) read(next func(data []byte) (call func(), size int, err error)) error {
+// mostRead is how much is handled at once: as many calls as small messages in it are kept in memory.
+const mostRead = 64 << 10
+
+// mostUnread is a part of the memory that may wait to be handled on one connection: what came before netpoll was held back.
+const mostUnread = 32
+
+var errMemory = errors.New("too much is being sent at once")
+
+// read takes what has come, a bounded piece at a time: netpoll calls again at once while anything is left. next reads one message in
+// place and gives its size, 0 while it is not whole, and the call that it leads to. All calls are made under one hold of the
+// controller's lock, before the bytes are given back: from its begin on nothing of what was read lies unread. After an error
+// nothing more is read on the connection.
+func (l *link) read(next func(data []byte) (call func(), size int, err error)) (err error) {
 	l.busy.Store(true)
 	defer l.busy.Store(false)
 	r := l.conn.Reader()
-	data, err := r.Next(r.Len())
+	if l.deaf.Load() {
+		return errors.Join(r.Skip(r.Len()), r.Release())
+	}
+	defer func() {
+		if err != nil {
+			l.deaf.Store(true)
+			l.keepRest(nil)
+		}
+	}()
+	if int64(r.Len()) > l.c.cfg.MemoryMB<<20/mostUnread {
+		return errMemory
+	}
+	data, err := r.Next(min(r.Len(), mostRead))
 	if err != nil {
 		return err
 	}
 	l.came.Store(int64(l.c.clock()))
-	before := len(l.rest)
-	if before > 0 {
+	if len(l.rest) > 0 {
 		l.rest = append(l.rest, data...)
 		data = l.rest
 	}
@@ -370,12 +395,35 @@
 	} else if whole || l.half.Load() == 0 {
 		l.half.Store(int64(l.c.clock()))
 	}
-	if len(data) == 0 && cap(l.rest) > maxRest {
+	l.keepRest(data)
+	_ = r.Release()
+	if err == nil && !l.ownBound && len(l.rest) > maxRest && l.c.held.Load() > l.c.cfg.MemoryMB<<20/16 {
+		err = errMemory
+	}
+	return err
+}
+
+// keepRest keeps the begin of a message that is not whole, in little more memory than it takes, and counts that.
+func (l *link) keepRest(data []byte) {
+	switch {
+	case len(data) == 0 && cap(l.rest) > maxRest:
 		l.rest = nil
-	} else {
+	case cap(l.rest) > max(maxRest, 4*len(data)):
+		l.rest = slices.Clone(data)
+	default:
 		l.rest = append(l.rest[:0], data...)
 	}
-	l.c.held.Add(int64(len(l.rest) - before))
-	_ = r.Release()
-	return err
+	if l.ownBound {
+		return
+	}
+	kept := 0
+	if len(l.rest) > 0 {
+		kept = cap(l.rest)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.over {
+		l.c.held.Add(int64(kept - l.kept))
+		l.kept = kept
+	}
 }
--- a/controller/listener.go
+++ b/controller/listener.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -94,22 +93,19 @@
 // serveClient hands a connection to netpoll and to admission.
 func (a *acceptor) serveClient(fd int) {
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // without it answers wait for others, no more
-	conn, err := netpoll.NewFDConnection(fd)
+	var conn netpoll.Connection
+	var err error
+	taken := false
+	a.c.do(func() { // netpoll reads from the first moment, so nothing may come between that and the callback
+		if conn, err = netpoll.NewFDConnection(fd); err == nil {
+			taken = a.c.accept(conn) != nil
+		}
+	})
 	if err != nil { // it is closed
 		a.failed(err, 0)
 		return
 	}
-	k := a.c.accept(conn)
-	if k == nil {
-		_ = conn.Close()
-		return
-	}
-	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-		a.c.do(func() { a.c.clientClosed(k) })
-		return nil
-	})
-	_ = conn.SetOnRequest(func(_ context.Context, conn netpoll.Connection) error { return k.onData(conn) })
-	if !conn.IsActive() { // ended before there was a callback to tell
+	if !taken || !conn.IsActive() { // it has no place, or ended before there was a callback to tell
 		_ = conn.Close()
 	}
 }
--- a/lab/fleet/memory_test.go
+++ b/lab/fleet/memory_test.go
@@ -113,17 +113,24 @@
 	}
 }
 
-// staysWithinMemory tells whether a process lives, answers a new client, and never had more than its limit.
-func staysWithinMemory(t *testing.T, p *Process) {
+// lives fails for a process that has ended.
+func lives(t *testing.T, p *Process) {
 	t.Helper()
-	g := newGuest(t, p, 2)
-	g.tries()
-	_ = g.answered()
 	select {
 	case <-p.Ended():
 		t.Fatal("it has ended: ", p.Err(), "\n", p.Log())
 	default:
 	}
+}
+
+// staysWithinMemory tells whether a process lives, answers a new client, and never had more than its limit.
+func staysWithinMemory(t *testing.T, p *Process) {
+	t.Helper()
+	lives(t, p)
+	g := newGuest(t, p, 2)
+	g.tries()
+	_ = g.answered()
+	lives(t, p)
 	if peak := p.PeakMB(); peak > float64(p.Limits.MemoryMB) {
 		t.Errorf("peak memory %.0f MB, limit %d MB", peak, p.Limits.MemoryMB)
 	}
