A client that takes nothing in for 5 s ends its connection, not the process

Found as a flood of questions whose answers nobody reads ended the process instead of passing its limit.

Why this works: the time of a write is a timer of the connection itself, which closes it; netpoll then ends the write by the close and never asks for the address.

--- a/controller/flush.go
+++ b/controller/flush.go
@@ -16,8 +16,14 @@
 	engineFlush     = 50 * time.Millisecond
 )
 
-// flush hands all that netpoll holds of this connection to the socket.
+// writeTimeout is for one flush: a peer that takes nothing for so long would not read its answers in time.
+const writeTimeout = 5 * time.Second
+
+// flush hands all that netpoll holds of this connection to the socket. netpoll's own time limit for that is not used: as it passes,
+// netpoll asks for the address of the peer, which an accepted connection made of a descriptor does not have.
 func (l *link) flush() error {
+	l.overdue.Reset(writeTimeout)
+	defer l.overdue.Stop()
 	most := engineFlush
 	if l.shut {
 		most = clientFlush
--- a/controller/link.go
+++ b/controller/link.go
@@ -23,6 +23,7 @@
 	wake     chan struct{}
 	shut     bool         // ends by shutting its side first
 	ownBound bool         // what it keeps of a message has a bound of its own, and is not counted with that of others
+	overdue  *time.Timer  // closes the connection when a write takes too long
 	down     func()       // is called right before that, under the link's own lock; nil for nothing
 	busy     atomic.Bool  // a read waits for the controller's lock, with what netpoll's buffer no longer shows
 	deaf     atomic.Bool  // it said what can't be read: whatever else comes is passed over
@@ -53,12 +54,10 @@
 	return size
 }
 
-// writeTimeout is for one flush: a peer that takes nothing for so long would not read its answers in time.
-const writeTimeout = 5 * time.Second
-
 func newLink(c *Controller, conn netpoll.Connection) *link {
 	l := &link{c: c, conn: conn, wake: make(chan struct{}, 1)}
-	_ = conn.SetWriteTimeout(writeTimeout)
+	l.overdue = time.AfterFunc(time.Hour, func() { _ = conn.Close() })
+	l.overdue.Stop()
 	go l.write()
 	return l
 }
--- a/lab/fleet/memory_test.go
+++ b/lab/fleet/memory_test.go
@@ -135,3 +135,28 @@
 		t.Errorf("peak memory %.0f MB, limit %d MB", peak, p.Limits.MemoryMB)
 	}
 }
+
+// TestStalledClientEndsProcess: a client that reads none of its answers for longer than a write may take ends its connection, not the
+// process.
+func TestStalledClientEndsProcess(t *testing.T) {
+	t.Parallel()
+	p := alone(t, 256)
+	var floods sync.WaitGroup
+	for _, f := range flood.Clients("quick") {
+		if f.Unread {
+			f.Times, f.Lingers = 4, 8*time.Second
+			floods.Add(1)
+			go func() {
+				defer floods.Done()
+				_ = f.Run(p.Listen)
+			}()
+		}
+	}
+	floods.Wait()
+	lives(t, p)
+	g := newGuest(t, p, 2)
+	g.ask()
+	if err := g.answered(); err != nil {
+		t.Error(err)
+	}
+}
