Answers that nobody reads count with what they take in memory, and share a quarter of it

Cause: link.unsent counted the bytes of a message (11 for an answer to a question), not the some 250 bytes that its head's buffer, its parts and the message itself take; and the bound was for each connection alone, a sixteenth of the memory, so that sixteen of them came to all of it. Pages of results had no bound but the number of open requests.

Change: a message counts with its overhead (link.size); where connections together hold a quarter of the memory each may keep an even share of that quarter; what is queued goes at once with a connection that is dropped; pages are taken in up to half of the memory, beyond that their connection fails as with an answer that can't be read.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -119,6 +119,7 @@
 	c.trace("client closed", "takes nothing in", "client", k.id, "jobs", len(k.jobs))
 	k.gone = true
 	c.forgetClient(k)
+	k.discard()
 	c.closeSoon(k.conn)
 }
 
@@ -459,15 +460,20 @@
 
 func (k *client) sendEmpty(kind byte, stream uint32) { k.out(frame.AppendHead(nil, kind, stream, 0)) }
 
-// out guards against a client that sends jobs and does not read: past a bound its connection is closed. 32 of
-// the largest results are 1.5 MB; the bound is 2 MB on the smallest machines.
+// out guards against clients that send jobs and do not read: past a bound their connections are closed. 32 of the largest results are
+// 1.5 MB; the bound is 2 MB on the smallest machines. Where all connections together hold a quarter of the memory, it is an even
+// share of that quarter.
 func (k *client) out(head []byte, body ...[]byte) {
 	if k.gone {
 		return
 	}
 	c := k.c
 	k.add(append([][]byte{head}, body...)...)
-	if int64(k.backlog()) > c.cfg.MemoryMB<<20/16 {
+	most, all := c.cfg.MemoryMB<<20/16, c.cfg.MemoryMB<<20/4
+	if c.held.Load() > all {
+		most = min(most, all/int64(mostClients(c.cfg)))
+	}
+	if int64(k.backlog()) > most {
 		c.counts[clientsTooSlow]++
 		c.drop(k)
 	}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -668,6 +668,10 @@
 		c.counts[strayAnswers]++
 		return d.same(n, body)
 	}
+	// Guards the machine: results of requests that were let in while there was room, and answers that nobody reads yet.
+	if c.bytes+c.held.Load()+int64(len(body)) > c.cfg.MemoryMB<<20/2 {
+		return errMemory
+	}
 	d.pages[n] = append(make([]byte, 0, len(body)), body...)
 	d.size += len(body)
 	c.bytes += int64(len(body))
--- a/controller/link.go
+++ b/controller/link.go
@@ -32,7 +32,7 @@
 
 	mu            sync.Mutex
 	pending       []message
-	unsent        int      // bytes queued and not flushed
+	unsent        int      // memory of what is queued and not flushed, in bytes
 	queued, taken int64    // messages queued, and handed to the socket
 	ending, over  bool     // ending: closes once all is flushed
 	isDown        bool     // its side is shut
@@ -47,7 +47,12 @@
 	parts  [][]byte
 }
 
-func (m message) size() (size int) {
+// messageOverhead is what a message takes in memory beside its bytes: itself, its list of parts, and the buffer of its head.
+const messageOverhead = 256
+
+// size is what a message takes in memory.
+func (m message) size() int {
+	size := messageOverhead
 	for _, part := range m.parts {
 		size += len(part)
 	}
@@ -142,6 +147,16 @@
 	return message <= l.taken
 }
 
+// discard gives up what is queued on a connection that is to be closed at once.
+func (l *link) discard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.pending {
+		l.keep(-m.size())
+	}
+	l.pending, l.ending = nil, true
+}
+
 func (l *link) backlog() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
