What discovery says has bounds in memory and nesting, whatever its form

Cause: internal/http1 bounded the body, not what frames it; read interim answers by recursion; kept a slice for each chunk and looked through all of them again with each read; internal/listing decoded a whole list before it checked the first host, 104 bytes for 3; the list of engines itself had no bound.

Change: an answer with all its frames takes 8 MB and a head at most, a sixteenth of small memories; 16 interim answers; trailers as long as a head; chunks are looked through once; lists are decoded host by host and end at the first fault; as many engines are kept as the memory has room for at the operators' 4 kB each (engines_over_limit counts others).

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -605,7 +605,7 @@
 // engine served by another.
 func (b *bed) goesElsewhere(from, to *standIn, k conn) {
 	b.t.Helper()
-	events, err := listing.Parse([]byte(b.list.text(1)))
+	events, err := listing.Parse([]byte(b.list.text(1)), 100)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/controller/counters.go
+++ b/controller/counters.go
@@ -67,6 +67,7 @@
 	acceptsFailed
 	writesAgain
 	dialsAgain
+	enginesOverLimit
 	counters
 )
 
@@ -77,7 +78,7 @@
 	"outcome_recalled", "outcome_not_sent", "cancels", "fences", "withdrawn", "unfit", "pages_read", "faulty_answers", "stray_answers", "notes_unread",
 	"engines_misread", "engines_too_slow", "dials", "dials_failed", "links_lost", "links_over_limit",
 	"probes_sent", "discovery_calls", "discovery_events", "discovery_gaps", "discovery_failures", "discovery_silent", "reloads", "reloads_failed", "peer_unsaid", "panics",
-	"refused_by_route", "moved_by_route", "standstills", "accepts_failed", "writes_again", "dials_again"}
+	"refused_by_route", "moved_by_route", "standstills", "accepts_failed", "writes_again", "dials_again", "engines_over_limit"}
 
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
 
--- a/controller/discovery.go
+++ b/controller/discovery.go
@@ -46,13 +46,26 @@
 
 // remembered tells the module what the configuration knows.
 func (f *discovery) remembered(known []byte) error {
-	events, err := listing.Parse(known)
+	events, err := f.parse(known)
 	if err == nil {
 		f.tell(events, func(bool) logic.ListKind { return logic.ListRemembered })
 	}
 	return err
 }
 
+// longest is the most bytes of an answer that are taken, a sixteenth of small memories.
+func (f *discovery) longest() int { return int(min(http1.MaxBody, f.c.cfg.MemoryMB<<20/16)) }
+
+// mostChanged is how often the list may have changed whole within one answer; each change is small and kept until it is taken.
+const mostChanged = 12
+
+func (f *discovery) parse(text []byte) (listing.Events, error) {
+	return listing.Parse(text, mostChanged*f.c.mostEngines())
+}
+
+// mostEngines are kept. Each takes 4 kB at most by the operators' terms; 3,200 of them have room in the smallest memory.
+func (c *Controller) mostEngines() int { return int(c.cfg.MemoryMB) * 100 }
+
 // start follows discovery from the beginning where changes come by themselves.
 func (f *discovery) start() {
 	if !f.c.cfg.Settings.Logic.ListOnRequest {
@@ -88,6 +101,10 @@
 		if listed != nil {
 			listed[id] = true
 		}
+		if c.engines[id] == nil && len(c.engines) >= c.mostEngines() {
+			c.counts[enginesOverLimit]++
+			return
+		}
 		c.engineListed(id, address, location, kind, cell, state, weight, born)
 		c.routesSee(c.engines[id])
 		c.logic.EngineListed(c.now, id, location, kind, cell, state, weight, c.engines[id].started)
@@ -259,7 +276,8 @@
 				reading.closes(l)
 				return nil
 			})
-			reading.begin(l, func() { f.onData(l) })
+			var seen http1.Progress
+			reading.begin(l, func() { f.onData(l, &seen) })
 			if f.dials[number] == nil {
 				c.closeSoon(conn)
 				return
@@ -302,10 +320,10 @@
 		return
 	}
 	// A body without a length ends with its connection.
-	_, body, size, _, err := http1.Next(l.rest, true)
+	_, body, size, _, err := http1.Next(l.rest, true, f.longest(), &http1.Progress{})
 	if f.link = nil; f.waits && size > 0 && err == nil {
 		f.waits = false
-		f.heard(listing.Parse(body))
+		f.heard(f.parse(body))
 	} else if f.waits {
 		f.failed(errors.New("connection closed"))
 	}
@@ -338,17 +356,17 @@
 	})
 }
 
-func (f *discovery) onData(l *link) {
+func (f *discovery) onData(l *link, seen *http1.Progress) {
 	c := f.c
 	err := l.read(func(data []byte) (func(), int, error) {
-		status, body, size, last, err := http1.Next(data, false)
+		status, body, size, last, err := http1.Next(data, false, f.longest(), seen)
 		if err != nil || size == 0 {
 			return nil, 0, err
 		}
 		var events listing.Events
 		var faulty error
 		if status == 200 { // a long list is read before the lock is taken
-			events, faulty = listing.Parse(body)
+			events, faulty = f.parse(body)
 		}
 		return func() { f.answered(l, status, last, events, faulty) }, size, nil
 	})
--- a/controller/memory_test.go
+++ b/controller/memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"yarrowbarrow/config"
 	"yarrowbarrow/internal/frame"
 )
 
@@ -55,3 +56,22 @@
 		}
 	}
 }
+
+// TestEnginesBeyondMemory: of a list that is longer than the memory has room for, as many engines are kept as that has.
+func TestEnginesBeyondMemory(t *testing.T) {
+	b := startWith(t, "", func(cfg *config.Config) { cfg.MemoryMB = 32 })
+	most := b.c.mostEngines()
+	if most < 3200 {
+		t.Fatal("no room for the longest list that operators have: ", most)
+	}
+	var all [][3]string
+	for n := range most + 100 {
+		all = append(all, [3]string{fmt.Sprint("x", n), fmt.Sprint("127.0.0.1:", 10000+n), "active"})
+	}
+	b.list.tell(true, all...)
+	b.until(func() bool { return len(b.c.engines) == most && b.c.counts[enginesOverLimit] == 100 })
+	b.list.tell(false, [3]string{"x0", "127.0.0.1:10000", "left"})
+	b.until(func() bool { return len(b.c.engines) == most-1 })
+	b.list.tell(false, [3]string{"y", "127.0.0.1:9999", "active"})
+	b.until(func() bool { return b.c.engines["y"] != nil })
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -27,9 +27,36 @@
 	return append(to, "GET "+target+" HTTP/1.1\r\nHost: "+host+"\r\nAccept: application/json\r\n\r\n"...)
 }
 
-// Next reads the first answer of data; closed tells that no more bytes come. Its size is 0 while more are
-// needed. last tells that the connection serves no further request.
-func Next(data []byte, closed bool) (status int, body []byte, size int, last bool, err error) {
+// Progress is how far the chunks of an answer that is not whole have been looked through. The zero value is none.
+type Progress struct{ at, length int }
+
+// mostInterim answers may come before the real one.
+const mostInterim = 16
+
+// Next reads the first answer of data; closed tells that no more bytes come. Its size is 0 while more are needed: it is called again
+// with the same bytes and more, and the same progress. last tells that the connection serves no further request. An answer, with all
+// that frames its body, takes at most MaxHead and most bytes.
+func Next(data []byte, closed bool, most int, seen *Progress) (status int, body []byte, size int, last bool, err error) {
+	before := 0
+	for range mostInterim {
+		status, body, size, last, err = next(data[before:], closed, most-before, seen)
+		if err != nil || size == 0 {
+			return status, body, 0, last, err
+		}
+		before += size
+		if status/100 != 1 {
+			*seen = Progress{}
+			return status, body, before, last, nil
+		}
+	}
+	return 0, nil, 0, true, errHead
+}
+
+// next reads one answer, an interim one too.
+func next(data []byte, closed bool, most int, seen *Progress) (status int, body []byte, size int, last bool, err error) {
+	if len(data) > MaxHead+most {
+		return 0, nil, 0, true, errLimit
+	}
 	more := func() (int, []byte, int, bool, error) {
 		if closed && len(data) > 0 {
 			return 0, nil, 0, true, errEarly
@@ -74,21 +101,15 @@
 	}
 	head := end + 4
 	switch {
-	case status/100 == 1: // an interim answer: the real one follows
-		status, body, size, last, err = Next(rest, closed)
-		if size > 0 {
-			size += head
-		}
-		return status, body, size, last, err
-	case status == 204 || status == 304:
+	case status/100 == 1 || status == 204 || status == 304: // behind an interim answer the real one follows
 		return status, nil, head, last, nil
 	case chunked:
-		body, size, err = chunks(rest)
+		body, size, err = chunks(rest, most, seen)
 		if err == nil && size == 0 {
 			return more()
 		}
 		return status, body, head + size, last || err != nil, err
-	case length > MaxBody || length < 0 && len(rest) > MaxBody:
+	case length > most || length < 0 && len(rest) > most:
 		return 0, nil, 0, true, errLimit
 	case length >= 0 && len(rest) < length:
 		return more()
@@ -101,48 +122,72 @@
 }
 
 // chunks puts a chunked body together; size is 0 while more bytes are needed.
-func chunks(data []byte) (body []byte, size int, err error) {
-	at, length := 0, 0
-	var parts [][]byte // put together once, when the last one is here: a long body comes in many reads
+func chunks(data []byte, most int, seen *Progress) (body []byte, size int, err error) {
 	for {
-		line := bytes.Index(data[at:], []byte("\r\n"))
-		if line < 0 && len(data)-at > MaxHead {
-			return nil, 0, errBody
-		} else if line < 0 {
-			return nil, 0, nil
+		from, n, err := chunk(data, seen.at)
+		if err != nil || from == 0 {
+			return nil, 0, err
 		}
-		digits, _, _ := bytes.Cut(data[at:at+line], []byte(";"))
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
-		if err != nil {
-			return nil, 0, errBody
+		if seen.length+n > most {
+			return nil, 0, errLimit
 		}
-		at += line + 2
 		if n == 0 {
-			break
-		}
-		if length+int(n) > MaxBody {
-			return nil, 0, errLimit
+			end, err := trailers(data, from)
+			if err != nil || end == 0 {
+				return nil, 0, err
+			}
+			return join(data, seen), end, nil
 		}
-		if len(data) < at+int(n)+2 {
+		end := from + n + 2
+		if len(data) < end {
 			return nil, 0, nil
 		}
-		parts = append(parts, data[at:at+int(n)])
-		length += int(n)
-		at += int(n) + 2
-		if string(data[at-2:at]) != "\r\n" {
+		if string(data[end-2:end]) != "\r\n" {
 			return nil, 0, errBody
 		}
+		seen.at, seen.length = end, seen.length+n
 	}
-	for { // trailers, up to an empty line
+}
+
+// join gives the bytes of all chunks that were looked through.
+func join(data []byte, seen *Progress) []byte {
+	body := make([]byte, 0, seen.length)
+	for at := 0; at < seen.at; {
+		from, n, _ := chunk(data, at)
+		body = append(body, data[from:from+n]...)
+		at = from + n + 2
+	}
+	return body
+}
+
+// chunk reads the line before a chunk: where its bytes begin, 0 while the line is not whole, and how many they are.
+func chunk(data []byte, at int) (from, length int, err error) {
+	line := bytes.Index(data[at:], []byte("\r\n"))
+	if line < 0 && len(data)-at > MaxHead {
+		return 0, 0, errBody
+	} else if line < 0 {
+		return 0, 0, nil
+	}
+	digits, _, _ := bytes.Cut(data[at:at+line], []byte(";"))
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
+	if err != nil {
+		return 0, 0, errBody
+	}
+	return at + line + 2, int(n), nil
+}
+
+// trailers passes over the lines behind the last chunk, up to an empty one, and gives the end of it; 0 while it is not here.
+func trailers(data []byte, from int) (end int, err error) {
+	for at := from; ; {
 		line := bytes.Index(data[at:], []byte("\r\n"))
-		if line < 0 && len(data)-at > MaxHead {
-			return nil, 0, errBody
+		if at-from > MaxHead || line < 0 && len(data)-from > MaxHead {
+			return 0, errBody
 		} else if line < 0 {
-			return nil, 0, nil
+			return 0, nil
 		}
 		at += line + 2
 		if line == 0 {
-			return bytes.Join(parts, nil), at, nil
+			return at, nil
 		}
 	}
 }
--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -2,6 +2,7 @@
 package listing
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -21,10 +22,51 @@
 	N       int64
 	Members *struct {
 		Whole bool
-		Hosts []host
+		Hosts hosts
 	}
 }
 
+// events and hosts are read one by one, so that a faulty text ends at its first fault, whatever its length.
+type (
+	events []change
+	hosts  []host
+)
+
+func (all *events) UnmarshalJSON(raw []byte) error {
+	return elements(raw, func(e change) error {
+		*all = append(*all, e)
+		return nil
+	})
+}
+
+func (all *hosts) UnmarshalJSON(raw []byte) error {
+	return elements(raw, func(h host) error {
+		if _, known := states[h.Health]; !known || h.Host == "" {
+			return fmt.Errorf("host %q: health %q is not known", h.Host, h.Health)
+		}
+		*all = append(*all, h)
+		return nil
+	})
+}
+
+// elements hands over those of an array; null has none.
+func elements[T any](raw []byte, each func(T) error) error {
+	from := json.NewDecoder(bytes.NewReader(raw))
+	if begin, err := from.Token(); err != nil || begin == nil {
+		return err
+	}
+	for from.More() {
+		var one T
+		if err := from.Decode(&one); err != nil {
+			return err
+		}
+		if err := each(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 type host struct {
 	Host   logic.EngineID
 	Dial   string
@@ -36,25 +78,18 @@
 	BornMS int64 `json:"born_ms"`
 }
 
-// Parse reads a text. A faulty one is refused as a whole.
-func Parse(raw []byte) (Events, error) {
+// Parse reads a text with at most so many events, and hosts in all of them. A faulty one is refused as a whole.
+func Parse(raw []byte, most int) (Events, error) {
 	var answer struct {
 		N      int64
-		Events []change
+		Events events
+	}
+	if n := bytes.Count(raw, []byte("{")); n > 3*most+1 { // an object for each event, its members and each host, and one round all
+		return Events{}, fmt.Errorf("%d objects, of at most %d events and hosts", n, most)
 	}
 	if err := json.Unmarshal(raw, &answer); err != nil {
 		return Events{}, err
 	}
-	for _, e := range answer.Events {
-		if e.Members == nil {
-			continue
-		}
-		for _, h := range e.Members.Hosts {
-			if _, known := states[h.Health]; !known || h.Host == "" {
-				return Events{}, fmt.Errorf("event %d: host %q: health %q is not known", e.N, h.Host, h.Health)
-			}
-		}
-	}
 	return Events{answer.N, answer.Events}, nil
 }
 
@@ -87,11 +122,14 @@
 	return last, last < all.last
 }
 
+// MostKnown events and hosts may be in what a configuration knows.
+const MostKnown = 1 << 16
+
 // Read parses a text and hands over the events behind number after.
 func Read(raw []byte, after int64, begins func(whole bool), lists func(id logic.EngineID, address string,
 	location logic.Location, kind logic.KindName, cell logic.Cell, state logic.Health, weight float64,
 	since time.Duration), ends func()) (last int64, gap bool, err error) {
-	all, err := Parse(raw)
+	all, err := Parse(raw, MostKnown)
 	if err != nil {
 		return after, false, err
 	}
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// manyHosts is a MiB of hosts that differ.
+func manyHosts(_, k int) []byte {
+	all := make([]byte, 0, mib+100)
+	for n := 0; len(all) < mib; n++ {
+		all = fmt.Appendf(all, `{"host":"h%d-%d","dial":"127.0.0.1:9","site":"east","class":"std","health":"active"},`, k, n)
+	}
+	return all
+}
+
 // Job is the frame of a request.
 func Job(class string, stream uint32, id string, statement []byte) []byte {
 	fields := [][2]string{{"class", class}, {"id", id}, {"wait", "1000"}}
@@ -143,6 +152,7 @@
 		{Name: "a body without a length", Begin: []byte("HTTP/1.1 200 OK\r\n\r\n"), Piece: repeated("x"), Times: 100},
 		{Name: "answers to nothing", Piece: repeated("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), Times: 100},
 		{Name: "a head that does not end", Begin: []byte("HTTP/1.1 200 OK\r\n"), Piece: repeated("A: b\r\n"), Times: 100},
+		{Name: "a list of many hosts", Begin: []byte(list), Next: manyHosts, Times: 8},
 		{Name: "a list of empty hosts", Begin: []byte(list), Piece: repeated("{},"), Times: 8},
 	}
 }
