A fault in the program fails what is open, never the process

This is the class of the fault before it: a goroutine that nothing guards, and a guard that gives up.

Change: controller/faults.go. Goroutines of the controller are started by aside, which counts and logs a fault; where faults keep coming back no job is taken for a second, they are refused with when to come back and the front is told not ready, and a new module is tried until one begins; what remains of netpoll's own goroutines can't be guarded from here.

Tests that failed before: TestPanicsThatKeepComingEndProcess ('Run: panics keep coming back') and TestPanicInWriterEndsProcess (the test process ends) with each guard taken out in a trial; TestPanicInReloadEndsProcess and TestSweepsGoOnAfterPanic by the same text, not tried without.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -75,6 +75,10 @@
 	c.at(c.now+lingers, k.end)
 }
 
+func newAdmission(c *Controller) *admission.Control {
+	return admission.New(admissionHost{c}, mostClients(c.cfg))
+}
+
 // admissionHost carries out what admission decides about clients' connections.
 type admissionHost struct{ c *Controller }
 
@@ -184,7 +188,7 @@
 func (c *Controller) readyComes(k *client, stream uint32) {
 	c.admission.Front(c.now, k.id)
 	code := byte(1)
-	if c.phase != Ready {
+	if c.phase != Ready || c.idles {
 		code = 2
 	}
 	k.send(frame.IsReady, stream, code, "", "")
@@ -351,7 +355,7 @@
 		k.jobs[stream] = j
 		// Guards the machine: it must not die of what it holds. The job never ran, so a retry does no harm.
 		if most := c.cfg.Settings.OpenCap; c.full(len(j.statement)) || most > 0 && len(c.jobs) >= most ||
-			len(k.jobs) > streamsPerClient || c.phase >= Leaving {
+			len(k.jobs) > streamsPerClient || c.phase >= Leaving || c.idles {
 			c.counts[jobsOverLimit]++
 			c.reject(j, c.cfg.Settings.Logic.MaxComeBack)
 			return
@@ -480,7 +484,7 @@
 }
 
 // closeSoon closes a connection without the lock, as the callbacks that follow take it.
-func (c *Controller) closeSoon(conn netpoll.Connection) { go conn.Close() }
+func (c *Controller) closeSoon(conn netpoll.Connection) { c.aside(func() { _ = conn.Close() }) }
 
 // drain begins the way to the exit: clients are told to send nothing new here, and what still comes is served.
 func (c *Controller) drain() {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -88,11 +87,12 @@
 	bytes     int64        // of statements and pages
 	lingering atomic.Int64 // connections that are shut and not closed
 	unguarded bool
-	parting   atomic.Bool  // the process ends now: nothing new needs a descriptor
-	refusing  int          // connections from clients that are turned away and not closed
-	held      atomic.Int64 // bytes that connections keep: unsent, or of messages that are not whole
-	panics    []time.Duration
-	logged    time.Duration // when the counters last were
+	parting   atomic.Bool     // the process ends now: nothing new needs a descriptor
+	refusing  int             // connections from clients that are turned away and not closed
+	held      atomic.Int64    // bytes that connections keep: unsent, or of messages that are not whole
+	panics    []time.Duration // the last of them
+	idles     bool            // faults keep coming back: no job is taken until a new module has begun
+	logged    time.Duration   // when the counters last were
 }
 
 // New prepares a controller; Run starts it.
@@ -103,7 +103,7 @@
 		fences: map[string]*attempt{}}
 	c.module = func(h logic.Host, s logic.Settings, seed int64) logic.Module { return config.Module(h, s, seed) }
 	c.discovery = &discovery{c: c, address: cfg.Discovery, pace: watch.For(cfg.Settings.DrainGrace), dials: map[int64]context.CancelFunc{}}
-	c.admission = admission.New(admissionHost{c}, mostClients(cfg))
+	c.admission = newAdmission(c)
 	c.tracing = debugs(log)
 	return c
 }
@@ -127,7 +127,7 @@
 		table = route.NewTable(c.cfg.Plan, nil)
 	}
 	c.timer = time.NewTimer(time.Hour)
-	go c.keepTime()
+	c.aside(c.keepTime)
 	c.do(func() {
 		c.logic = c.module(host{c}, c.cfg.Settings.Logic, c.cfg.Seed)
 		c.adopt(c.cfg.Plan, table)
@@ -141,7 +141,7 @@
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	go func() { c.fail(fmt.Errorf("listener: %w", clients.serve())) }()
+	c.aside(func() { c.fail(fmt.Errorf("listener: %w", clients.serve())) })
 	select {
 	case <-ctx.Done():
 		c.do(c.drain)
@@ -161,7 +161,7 @@
 func (c *Controller) Reload(read func() (config.Config, error)) error {
 	c.reloading.Lock()
 	defer c.reloading.Unlock()
-	next, err := read()
+	next, err := readGuarded(read)
 	var table *route.Table
 	if err == nil && next.Plan != nil { // which takes too long to be made under the lock
 		var before *route.Table
@@ -259,47 +259,3 @@
 	line.Add(values...)
 	c.lines = append(c.lines, line)
 }
-
-func (c *Controller) guarded(f func()) {
-	defer func() {
-		if broke := recover(); broke != nil {
-			c.broke(broke)
-		}
-	}()
-	f()
-}
-
-// broke guards against a fault in the module or in the code round it. What the module held can't be trusted
-// any more, so all jobs are failed and a new module begins, like a restart that keeps the sockets.
-// A fault that comes back within seconds ends the process, as a half-dead controller is worse than none.
-func (c *Controller) broke(why any) {
-	c.counts[panicked]++
-	c.note(slog.LevelError, "panic", "why", fmt.Sprint(why), "stack", string(debug.Stack()))
-	c.panics = append(c.panics, c.now)
-	// Three in ten seconds: a single faulty job may be sent again by its client twice.
-	if n := len(c.panics); n > 3 && c.now-c.panics[n-4] < 10*time.Second {
-		c.fail(errors.New("panics keep coming back"))
-		return
-	}
-	c.queue = nil
-	for _, j := range c.jobs {
-		c.failJob(j)
-		if d := j.out; d != nil {
-			c.letGo(d)
-		}
-		j.out = nil
-		c.forget(j)
-	}
-	c.logic = c.module(host{c}, c.cfg.Settings.Logic, c.cfg.Seed+int64(len(c.panics)))
-	if c.router != nil {
-		c.router = nil
-		c.adopt(c.plan, route.NewTable(c.plan, nil))
-		c.router.ListEnds(c.now)
-	}
-	c.logic.ListBegins(c.now, logic.ListRemembered)
-	for _, id := range sorted(c.engines) {
-		e := c.engines[id]
-		c.logic.EngineListed(c.now, e.id, e.location, e.kind, e.cell, e.state, e.weight, e.started)
-	}
-	c.logic.ListEnds(c.now)
-}
--- a/controller/discovery.go
+++ b/controller/discovery.go
@@ -256,7 +256,7 @@
 	f.dialed++
 	number, connect := f.dialed, c.system.connect
 	f.dials[number] = stop
-	go func() {
+	c.aside(func() {
 		conn, err := connect(ctx, address)
 		stop()
 		if err != nil {
@@ -291,7 +291,7 @@
 		if !conn.IsActive() {
 			_ = conn.Close()
 		}
-	}()
+	})
 }
 
 // move follows discovery at another address from the last number held. What the old one would still say, on its
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -373,7 +373,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Settings.ConnectTimeout)
 	n, connect := c.counts[dials], c.system.connect
 	e.dials[n] = cancel
-	go func() {
+	c.aside(func() {
 		conn, err := connect(ctx, address)
 		cancel()
 		if err != nil {
@@ -393,7 +393,7 @@
 		if !conn.IsActive() { // ended before there was a callback to tell
 			_ = conn.Close()
 		}
-	}()
+	})
 }
 
 func (c *Controller) dialed(e *engine, n int64, l *engineLink, err error) {
--- a/controller/link.go
+++ b/controller/link.go
@@ -61,9 +61,12 @@
 
 func newLink(c *Controller, conn netpoll.Connection) *link {
 	l := &link{c: c, conn: conn, wake: make(chan struct{}, 1)}
-	l.overdue = time.AfterFunc(time.Hour, func() { _ = conn.Close() })
+	l.overdue = time.AfterFunc(time.Hour, func() {
+		defer c.caught()
+		_ = conn.Close()
+	})
 	l.overdue.Stop()
-	go l.write()
+	c.aside(l.write)
 	return l
 }
 
@@ -167,6 +170,7 @@
 // the peer a read a message when there are many. It is little against a job, and nothing on a connection that was
 // idle.
 func (l *link) write() {
+	defer func() { _ = l.conn.Close() }()
 	var last time.Time
 	crossings := 0
 	for range l.wake {
@@ -192,7 +196,6 @@
 		l.shutFirst()
 		break
 	}
-	_ = l.conn.Close()
 }
 
 // What crosses the end of a connection is read and answered before it is shut, for as long as a peer that sends on may hold that up.
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -61,10 +61,10 @@
 const countersEvery = 10 * time.Second
 
 func (c *Controller) sweep() {
+	c.at(c.now+sweepEvery, c.sweep) // first, as a fault must not end it
 	c.admission.Sweep(c.now)
 	c.sweepEngines()
 	if c.now >= c.logged+countersEvery {
 		c.logCounters()
 	}
-	c.at(c.now+sweepEvery, c.sweep)
 }
