--- a/controller/counters.go
+++ b/controller/counters.go
@@ -83,7 +83,10 @@
 func outcomeCounter(o logic.Outcome) counter { return outcomeDone + counter(o) }
 
 // LogCounters logs all counters, and what is open now.
-func (c *Controller) LogCounters() { c.do(c.logCounters) }
+func (c *Controller) LogCounters() {
+	c.do(c.logCounters)
+	c.logUsage()
+}
 
 func (c *Controller) logCounters() {
 	c.logged = c.now
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -66,5 +66,6 @@
 	c.sweepEngines()
 	if c.now >= c.logged+countersEvery {
 		c.logCounters()
+		c.aside(c.logUsage)
 	}
 }
