A configuration of any length is refused without being kept in memory

Cause: config.FromEnvironment read the whole file before anything looked at it. Change: the size is asked first, and 10 MB at most are read, also of a pipe.

--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"reflect"
@@ -41,7 +42,7 @@
 	if path == "" {
 		return Config{}, faulty("BALANCER_CONFIG", path, "the path of the configuration file")
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := readFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
@@ -52,6 +53,27 @@
 	return c, err
 }
 
+// mostFile is the longest configuration in bytes: the longest list that discovery may tell, and as much again of settings as any
+// deployment has.
+const mostFile = 10 << 20
+
+// readFile reads a file, or a pipe, that may be of any length.
+func readFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() > mostFile {
+		return nil, fmt.Errorf("%d bytes, at most %d are read", info.Size(), mostFile)
+	}
+	raw, err := io.ReadAll(io.LimitReader(f, mostFile+1))
+	if err == nil && len(raw) > mostFile {
+		err = fmt.Errorf("more than %d bytes", mostFile)
+	}
+	return raw, err
+}
+
 func (c *Config) readOperators(path string) error {
 	platform := c.Platform()
 	loaded := lang.Load(path, &platform)
