Signals that come in series over an exit do not end the process by their default

Cause: serve stopped awaiting SIGTERM and SIGINT as Run returned (signal.NotifyContext's stop, deferred); one that came between that and the end of the process took its default. Evidence: 13 of 40 exits under SIGTERM without a pause, all answered before. Change: signals stay awaited until the process has ended. Test that failed before: TestSignalsInSeriesOverExit, 20 exits.

--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -24,9 +24,12 @@
 }
 
 func (s *serveCommand) Run(log *slog.Logger) error {
-	// First of all, as a signal that nothing waits for would end the process.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// First of all, as a signal that nothing waits for would end the process. They stay awaited until it has ended: one that comes
+	// again, after all is answered, must not end it otherwise.
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	terminate := make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	stayOnHangup()
@@ -49,6 +52,10 @@
 		return errFindings
 	}
 	defer leave()
+	go func() {
+		<-terminate
+		end()
+	}()
 	show := make(chan os.Signal, 1)
 	signal.Notify(show, syscall.SIGUSR1)
 	go func() {
--- a/lab/fleet/ends_test.go
+++ b/lab/fleet/ends_test.go
@@ -9,6 +9,23 @@
 	"time"
 )
 
+// TestSignalsInSeriesOverExit: signals without a pause until a process is gone don't change how it ends.
+func TestSignalsInSeriesOverExit(t *testing.T) {
+	for range 20 {
+		p := alone(t, 256)
+		p.must(t, syscall.SIGTERM)
+		for over := false; !over; time.Sleep(50 * time.Microsecond) {
+			for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGINT, syscall.SIGPIPE} {
+				over = over || p.Signal(s) != nil
+			}
+		}
+		<-p.Ended()
+		if err := p.Err(); err != nil {
+			t.Fatal(err, "\n", p.Log())
+		}
+	}
+}
+
 // TestLargeConfigurationOnHangup: a configuration of any length is refused without being kept.
 func TestLargeConfigurationOnHangup(t *testing.T) {
 	t.Parallel()
