A log that nobody reads holds up nobody, and ends nothing

Cause: lines went to standard error by blocking writes, in the goroutine that had held the controller's lock: the timer's, readers', netpoll's own. A pipe that is full stopped all of them; one whose reader had gone raised SIGPIPE, which ends a Go program for standard error.

An exit waits 0.1 s at most for the reader.

--- a/cmd/yarrowbarrow/main.go
+++ b/cmd/yarrowbarrow/main.go
@@ -7,8 +7,11 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
+
+	"yarrowbarrow/internal/logsink"
 )
 
 // The exit codes.
@@ -37,6 +40,9 @@
 	Completion completionCommand `cmd:"" help:"Write a completion script for bash."`
 }
 
+// lastLines is how long an ending process waits for the reader of its log.
+const lastLines = 100 * time.Millisecond
+
 // errFindings ends with exit code 1 after all has been said.
 var errFindings = errors.New("findings")
 
@@ -49,9 +55,11 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, out, log io.Writer) (code int) {
+	lines := logsink.New(log)
+	defer lines.Flush(lastLines)
 	if len(args) == 0 { // as the platform starts it: nothing of the command line is kept in memory
 		serve := serveCommand{Operators: os.Getenv("BALANCER_OPERATORS")}
-		return codeOf(serve.Run(slog.New(slog.NewTextHandler(log, nil))), log)
+		return codeOf(serve.Run(slog.New(slog.NewTextHandler(lines, nil))), log)
 	}
 	endOnHangup()
 	var c commands
@@ -80,9 +88,9 @@
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(c.LogLevel)) // the parser knows the levels
 	options := &slog.HandlerOptions{Level: level}
-	logger := slog.New(slog.NewTextHandler(log, options))
+	logger := slog.New(slog.NewTextHandler(lines, options))
 	if c.LogFormat == "json" {
-		logger = slog.New(slog.NewJSONHandler(log, options))
+		logger = slog.New(slog.NewJSONHandler(lines, options))
 	}
 	return codeOf(ctx.Run(logger, &output{out, log}, parser), log)
 }
--- a/cmd/yarrowbarrow/serve.go
+++ b/cmd/yarrowbarrow/serve.go
@@ -30,6 +30,8 @@
 	defer end()
 	terminate := make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // of a log whose reader has gone; sockets raise none
+	slog.SetDefault(log)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	stayOnHangup()
--- a/controller/reading.go
+++ b/controller/reading.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,11 +18,19 @@
 var reading = newReadTurns()
 
 func init() {
-	if err := netpoll.Configure(netpoll.Config{Runner: reading.run}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{Runner: reading.run, LoggerOutput: netpollLog{}}); err != nil {
 		panic(err) // the library's own terms of use are broken
 	}
 }
 
+// netpollLog has what netpoll logs go where all else does.
+type netpollLog struct{}
+
+func (netpollLog) Write(line []byte) (int, error) {
+	slog.Debug("netpoll", "says", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // readTurns are the callbacks of netpoll that run. netpoll tells its runner nothing of the connection, so one turn at a time enters its
 // callback, which tells whose it is. A turn in which its connection ends is over before that end, as that needs netpoll's poller.
 type readTurns struct {
--- a/lab/fleet/ends_test.go
+++ b/lab/fleet/ends_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,57 @@
 	"time"
 )
 
+// startLogging starts a process whose log goes to a pipe, which the test holds.
+func startLogging(t *testing.T) (p *Process, log *os.File) {
+	t.Helper()
+	p, _, _ = between(t, 256, shortSettings, 1)
+	log, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { log.Close() })
+	// A shell hands the pipe on, as the process' own output is kept by the rig.
+	p.program, p.args = "/bin/sh", []string{"-c", fmt.Sprintf(`exec %q --log-level debug serve 2>/proc/%d/fd/%d`, program, os.Getpid(), w.Fd())}
+	if err := p.Start(patience); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	return p, log
+}
+
+// TestLogReaderGoneEndsProcess: where nobody reads the log any more, clients are answered as ever.
+func TestLogReaderGoneEndsProcess(t *testing.T) {
+	t.Parallel()
+	p, log := startLogging(t)
+	log.Close()
+	g := newGuest(t, p, 1)
+	for range 10 {
+		g.ask()
+		if err := g.answered(); err != nil {
+			t.Error(err)
+		}
+	}
+	lives(t, p)
+}
+
+// TestStalledLogHoldsUpProcess: the same where its reader stands still.
+func TestStalledLogHoldsUpProcess(t *testing.T) {
+	t.Parallel()
+	p, _ := startLogging(t)
+	g := newGuest(t, p, 1)
+	from := time.Now()
+	for range 300 { // each with some lines, against 64 KiB of a pipe
+		g.ask()
+		if err := g.answered(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(from); took > patience/2 {
+		t.Error("took ", took)
+	}
+	lives(t, p)
+}
+
 // TestSignalsInSeriesOverExit: signals without a pause until a process is gone don't change how it ends.
 func TestSignalsInSeriesOverExit(t *testing.T) {
 	for range 20 {
