--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -407,10 +408,11 @@
 	k.quick(1, "2900")
 	e.hears("serve").answer("HIT", "count=1", rowA)
 	k.gets(frame.Answer, 1, frame.Done, rowA)
-	refused := 1
+	var refused atomic.Int32 // dials that are; discovery dials too, on goroutines of its own
+	refused.Store(1)
 	b.c.do(func() {
 		b.c.system.connect = func(_ context.Context, address netip.AddrPort) (netpoll.Connection, error) {
-			if refused--; refused >= 0 {
+			if refused.Add(-1) >= 0 {
 				return nil, &net.OpError{Op: "dial", Err: syscall.EMFILE}
 			}
 			return dialTCP(context.Background(), address)
@@ -432,7 +434,7 @@
 		for _, l := range b.c.engines["e1"].links { // not idle any more
 			l.open["another"] = &attempt{}
 		}
-		refused = 3
+		refused.Store(3)
 	})
 	k.quick(3, "2900")
 	k.gets(frame.Answer, 3, frame.Rejected, "")
