A further attempt waits until the connection of the one before is closed, not until it is given up

What callers would see: two attempts of a job at engines at once (rule of design).

Cause: an attempt on a connection that can't be believed any more is over for its engine by the close (closing gives up all that is open on it). Change: where the connection is not closed yet the fence begins with its close (controller/jobs.go, engines.go). Test that failed before: TestFurtherAttemptBeforeClose ('sent while the connection before is open').

--- a/controller/crossing_attempt_test.go
+++ b/controller/crossing_attempt_test.go
@@ -523,3 +523,40 @@
 		}
 	}
 }
+
+// TestFurtherAttemptBeforeClose: an attempt whose connection can't be believed any more is over for its engine once that is closed; the
+// next one waits for that, however long it takes.
+func TestFurtherAttemptBeforeClose(t *testing.T) {
+	e, f := newStandIn(t, "127.0.0.1:0"), newStandIn(t, "127.0.0.1:0")
+	b := start(t, "", e, f)
+	k := b.client()
+	k.quick(1, "2900")
+	var first command
+	select {
+	case first = <-e.said:
+	case first = <-f.said:
+	}
+	var l *engineLink
+	b.c.do(func() {
+		l = b.c.jobs[logic.JobID(first.words[1])].out.link
+		b.c.lose(l, logic.Errored)
+	})
+	b.until(func() bool { return b.c.jobs[logic.JobID(first.words[1])].out != nil })
+	select {
+	case <-e.said:
+		t.Error("sent while the connection before is open")
+	case <-f.said:
+		t.Error("sent while the connection before is open")
+	case <-time.After(2 * fenceWait):
+	}
+	_ = l.conn.Close()
+	var next command
+	select {
+	case next = <-e.said:
+	case next = <-f.said:
+	case <-time.After(patience):
+		t.Fatal("not sent")
+	}
+	next.answer("HIT", "count=1", rowB)
+	k.gets(frame.Answer, 1, frame.Done, rowB)
+}
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -73,6 +73,9 @@
 	stale  bool          // takes nothing new
 	gone   bool
 
+	isClosed   bool
+	whenClosed []func() // to be done then, under the lock
+
 	makesRoom bool // it is closed so that another engine may have its descriptor
 }
 
@@ -463,6 +466,11 @@
 		c.counts[linksLost]++
 	}
 	c.lose(l, logic.ConnectionLost)
+	l.isClosed = true
+	for _, f := range l.whenClosed {
+		f()
+	}
+	l.whenClosed = nil
 	c.linkFreed()
 }
 
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -101,6 +101,10 @@
 // connection tells that it has arrived; elsewhere, and from a silent engine, a time in which it should have.
 func (c *Controller) fence(before, next *attempt) {
 	l, pass := before.link, func() { c.pass(next) }
+	if l.gone && !l.isClosed { // the close tells the engine to stop, and is on its way
+		l.whenClosed = append(l.whenClosed, func() { c.fence(before, next) })
+		return
+	}
 	c.at(c.now+fenceWait, pass)
 	switch {
 	case l.gone:
