--- a/cmd/yarrowbarrow/soak.go
+++ b/cmd/yarrowbarrow/soak.go
@@ -17,6 +17,7 @@
 	From    int64         `default:"1" help:"The first seed."`
 	Beside  int           `default:"2" help:"Runs at the same time. More than the machine bears shows as late answers."`
 	Length  time.Duration `default:"6s" help:"How long the load of each lasts, 3s or more."`
+	Hostile bool          `default:"true" negatable:"" help:"Peers that flood, crowds and signals beside the other faults."`
 	Program string        `type:"existingfile" placeholder:"FILE" help:"Another build of the program to play."`
 }
 
@@ -41,10 +42,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	broken := 0
-	err := fleet.RunSoak(ctx, program, c.From, max(c.Seeds, 1), c.Beside, max(c.Length, 3*time.Second), func(s fleet.Soaked) {
+	err := fleet.RunSoak(ctx, program, c.From, max(c.Seeds, 1), c.Beside, max(c.Length, 3*time.Second), c.Hostile, func(s fleet.Soaked) {
 		o, r := s.Options, s.Result
-		fmt.Fprintf(out, "seed %d: %d controllers of %d, %d engines, %d jobs, %.0f%% in time, %.1f%% of a core each", s.Seed, o.Controllers,
-			max(o.Settled, o.Controllers), o.Engines, r.Figures.Jobs, 100*r.Figures.InTime, 100*r.CPU)
+		fmt.Fprintf(out, "seed %d: %d controllers of %d, %d engines, %d jobs, %.0f%% in time, %.1f%% of a core each, peak %.0f MB", s.Seed, o.Controllers,
+			max(o.Settled, o.Controllers), o.Engines, r.Figures.Jobs, 100*r.Figures.InTime, 100*r.CPU, r.PeakMB)
 		if !r.Audit.Broken() {
 			fmt.Fprintln(out)
 			return
--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -25,6 +25,9 @@
 	Overtold int `json:"told_too_long"`  // attempts whose engine was told of more time than their client had left
 	Violated int `json:"violations"`     // that processes counted themselves
 
+	Unbidden   int `json:"ended_unbidden"` // lives of processes that ended without a signal to end from the rig
+	OverMemory int `json:"over_memory"`    // processes that had more memory resident than their limit
+
 	Cold float64 `json:"cold_most"` // the most work that came to a cold engine, over what fells it; no breach by itself
 }
 
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -45,6 +45,7 @@
 	Audit   Audit          `json:"audit"`
 	CPU     float64        `json:"cpu_share"` // of one core, mean of the controllers that lived through
 	Memory  float64        `json:"memory_mb"` // resident at the end, mean
+	PeakMB  float64        `json:"peak_mb"`   // the most memory that a process had resident
 
 	Picture *spread.Picture `json:"picture,omitempty"` // where one was asked for
 }
@@ -102,6 +103,7 @@
 	if err := f.start(ctx, folder); err != nil {
 		return Result{}, err
 	}
+	go f.watchMemory(measured)
 	from := time.Since(f.began)
 	f.play(ctx, from)
 	to := time.Since(f.began)
@@ -278,6 +280,8 @@
 		f.signals(over, n, fault.For)
 	case "crowd":
 		f.crowd(over, n, fault.For)
+	case "flood":
+		f.flood(over, n, fault.For)
 	case "eager", "leave":
 		f.guests[n].behave(fault.What, true)
 		wait(over, fault.For)
@@ -345,6 +349,16 @@
 		run.CoresOf = append(run.CoresOf, f.coresOf(place))
 	}
 	audit := Audit{Crashes: f.crashes}
+	peakMB := 0.0
+	for _, p := range f.processes {
+		p.notePeak()
+		unbidden, peak := p.history()
+		audit.Unbidden += unbidden
+		if peakMB = max(peakMB, peak); peak > float64(p.Limits.MemoryMB) {
+			audit.OverMemory++
+			f.Say("%s had %.1f MB of %d", p.Name, peak, p.Limits.MemoryMB)
+		}
+	}
 	came := map[string]time.Duration{}
 	proof := evidence{jobs: map[string]*ask{}, hosts: f.hosts, struck: f.struck, slack: f.slack(), delay: &f.delay, budget: theBudget, cold: theCold,
 		length: keyWindow, say: f.Say}
@@ -376,7 +390,7 @@
 	for _, list := range f.discoveries {
 		run.DiscoveryCalls = append(run.DiscoveryCalls, list.Times(f.began)...)
 	}
-	result := Result{Policy: f.Policy, Audit: audit, Figures: spread.Tell(run)}
+	result := Result{Policy: f.Policy, Audit: audit, Figures: spread.Tell(run), PeakMB: peakMB}
 	if f.Draw {
 		result.Picture = spread.Draw(run)
 	}
--- a/lab/fleet/network.go
+++ b/lab/fleet/network.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yarrowbarrow/lab/fleet/relay"
+	"yarrowbarrow/lab/flood"
 	"yarrowbarrow/lab/standin/discovery"
 	"yarrowbarrow/lab/standin/engine"
 )
@@ -29,7 +30,7 @@
 // add starts an engine at a place, at an address of its own or one that another left.
 func (f *fleet) add(place int, address string) (*host, error) {
 	h := &host{name: fmt.Sprintf("engine-%03d", place), place: place, cores: f.coresOf(place), room: roomName(place % f.Rooms), told: map[int]time.Duration{},
-		record: &record{began: f.began, open: map[string]int{}}}
+		record: &record{began: f.began, open: map[int]int{}}}
 	var err error
 	if address == "" {
 		if address, err = FreeAddress(); err != nil {
@@ -262,6 +263,10 @@
 		h.engine.Fail(true)
 		wait(over, fault.For)
 		h.engine.Fail(false)
+	case "babble":
+		h.engine.Flood(flood.Engines())
+		wait(over, fault.For)
+		h.engine.Flood(nil)
 	case "slow":
 		h.engine.Slow(4)
 		wait(over, fault.For)
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -50,6 +50,10 @@
 	ended chan struct{} // closed when the present life is over
 	err   error
 	log   tail
+
+	bidden   bool    // to end: the present life had a signal for that
+	unbidden int     // lives that ended without
+	peakMB   float64 // the most memory resident, over all lives
 }
 
 // listenPort is the same for all, as each has a loopback address of its own: a port of 127.0.0.1 that is free now may be
@@ -92,12 +96,15 @@
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended, p.err = cmd, ended, nil
+	p.cmd, p.ended, p.err, p.bidden = cmd, ended, nil, false
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
 		p.err = err
+		if !p.bidden {
+			p.unbidden++
+		}
 		p.mu.Unlock()
 		close(ended)
 	}()
@@ -144,7 +151,12 @@
 
 // Signal sends one to the present life: SIGSTOP and SIGCONT for a standstill, SIGTERM, SIGHUP, SIGKILL.
 func (p *Process) Signal(s syscall.Signal) error {
+	ends := s == syscall.SIGTERM || s == syscall.SIGINT || s == syscall.SIGKILL
+	if ends {
+		p.notePeak() // as there is none to ask for afterwards
+	}
 	p.mu.Lock()
+	p.bidden = p.bidden || ends
 	defer p.mu.Unlock()
 	if p.cmd == nil {
 		return fmt.Errorf("%s was not started", p.Name)
@@ -219,6 +231,21 @@
 	return 0
 }
 
+// notePeak keeps the peak of the present life with those of the others.
+func (p *Process) notePeak() {
+	peak := p.PeakMB()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peakMB = max(p.peakMB, peak)
+}
+
+// history tells how many lives ended without a signal for that, and the most memory of all.
+func (p *Process) history() (unbidden int, peakMB float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unbidden, p.peakMB
+}
+
 // Log is the end of what all lives wrote.
 func (p *Process) Log() string { return p.log.String() }
 
--- a/lab/fleet/seen.go
+++ b/lab/fleet/seen.go
@@ -29,7 +29,7 @@
 
 	mu            sync.Mutex
 	visits        []visit
-	open          map[string]int // the newest visit of a job
+	open          map[int]int // the visit of each attempt, by its number
 	dials, probes []time.Duration
 }
 
@@ -37,14 +37,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := e.At.Sub(r.began)
-	n, known := r.open[e.ID]
+	n, known := r.open[e.Run]
 	switch {
 	case e.What == engine.Dialled:
 		r.dials = append(r.dials, at)
 	case e.What == engine.Probed:
 		r.probes = append(r.probes, at)
 	case e.What == engine.Came:
-		r.open[e.ID] = len(r.visits)
+		r.open[e.Run] = len(r.visits)
 		r.visits = append(r.visits, visit{Visit: spread.Visit{Came: at, Work: e.Work}, id: e.ID, wait: e.Wait})
 	case !known:
 	case e.What == engine.Began:
--- a/lab/standin/engine/engine.go
+++ b/lab/standin/engine/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"yarrowbarrow/internal/resp"
+	"yarrowbarrow/lab/flood"
 )
 
 // Options of an engine. The zero value has one core, and jobs take no time.
@@ -30,6 +31,7 @@
 	At   time.Time
 	What What
 	ID   string        // of the job
+	Run  int           // numbers attempts, as a job may come again before its last attempt is given up
 	Work time.Duration // that it says of itself
 	Wait time.Duration // for which the sender waits, as it says
 }
@@ -69,9 +71,11 @@
 	slow   float64 // times as long, 1 usually
 	hung   bool
 	fails  bool
-	runs   []*run      // in the order they came
-	shared time.Time   // until when their shares are worked out
-	timer  *time.Timer // for the next end
+	floods []flood.Flood     // that jobs are answered with by turns, or none
+	fills  map[net.Conn]bool // a flood is being sent there, and nothing else
+	runs   []*run            // in the order they came
+	shared time.Time         // until when their shares are worked out
+	timer  *time.Timer       // for the next end
 	ran    map[string]int
 	audit  Audit
 }
@@ -79,6 +83,7 @@
 // run is a job that an engine has taken.
 type run struct {
 	id   string
+	n    int
 	work time.Duration
 	wait time.Duration
 	left time.Duration // of its work
@@ -94,7 +99,7 @@
 	if options.Row == "" {
 		options.Row = "a\tb\tc\n"
 	}
-	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, ran: map[string]int{}, slow: 1}
+	e := &Engine{options: options, address: address, conns: map[net.Conn]bool{}, fills: map[net.Conn]bool{}, ran: map[string]int{}, slow: 1}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -155,11 +160,12 @@
 		_ = conn.Close()
 	}
 	clear(e.conns)
+	clear(e.fills)
 }
 
 func (e *Engine) tell(what What, r *run) {
 	if e.options.Watch != nil {
-		e.options.Watch(Event{At: time.Now(), What: what, ID: r.id, Work: r.work, Wait: r.wait})
+		e.options.Watch(Event{At: time.Now(), What: what, ID: r.id, Run: r.n, Work: r.work, Wait: r.wait})
 	}
 }
 
@@ -183,6 +189,9 @@
 // Fail has it answer each job with an error at once, until it is told not to.
 func (e *Engine) Fail(yes bool) { e.change(func() { e.fails = yes }) }
 
+// Flood has each job answered with one of these, by turns, on its connection, which then serves no further job. None ends that.
+func (e *Engine) Flood(with []flood.Flood) { e.change(func() { e.floods = with }) }
+
 // Chill has it begin as if it had started just now.
 func (e *Engine) Chill() { e.change(func() { e.since = time.Now() }) }
 
@@ -268,6 +277,7 @@
 		return
 	}
 	delete(e.conns, conn)
+	delete(e.fills, conn)
 	_ = conn.Close()
 	e.drop(func(r *run) bool { return r.conn == conn })
 }
@@ -297,19 +307,25 @@
 		r := &run{id: said[1], conn: conn, work: workIn(said[len(said)-1]), wait: waitIn(said[2])}
 		r.left = r.work
 		e.audit.Taken++
+		r.n = e.audit.Taken
 		e.audit.Last = time.Now()
 		e.tell(Came, r)
 		if len(e.runs) >= e.options.Most {
 			e.tell(Dropped, r)
-			answer(conn, r.id, "SHED", "-", "")
+			e.answer(conn, r.id, "SHED", "-", "")
 			return
 		}
 		if e.fails {
 			e.tell(Began, r)
 			e.tell(Dropped, r)
-			answer(conn, r.id, "FAULT", "-", "")
+			e.answer(conn, r.id, "FAULT", "-", "")
 			return
 		}
+		if len(e.floods) > 0 {
+			r.left = flooded
+			e.fills[conn] = true
+			go e.floods[e.audit.Taken%len(e.floods)].Send(conn)
+		}
 		e.share()
 		e.runs = append(e.runs, r)
 		e.tell(Began, r)
@@ -320,11 +336,14 @@
 		e.audit.Probes++
 		e.tell(Probed, &run{})
 		if !e.hung {
-			answer(conn, said[1], "PONG", "-", "")
+			e.answer(conn, said[1], "PONG", "-", "")
 		}
 	}
 }
 
+// flooded is the work of a job whose answer does not end.
+const flooded = time.Hour
+
 // speed is how much of its work a job gets done in a time.
 func (e *Engine) speed() float64 {
 	if e.hung || len(e.runs) == 0 {
@@ -360,7 +379,7 @@
 		e.ran[r.id]++
 		e.audit.Ran++
 		e.tell(Ended, r)
-		answer(r.conn, r.id, "HIT", fmt.Sprintf("count=1,ticks=%d,footprint=16", max(r.work.Milliseconds(), 1)), e.options.Row)
+		e.answer(r.conn, r.id, "HIT", fmt.Sprintf("count=1,ticks=%d,footprint=16", max(r.work.Milliseconds(), 1)), e.options.Row)
 		return true
 	})
 	if e.timer != nil {
@@ -383,7 +402,11 @@
 	})
 }
 
-func answer(conn net.Conn, words ...string) {
+// answer says something under the lock: on a connection that a flood fills it would wait for that.
+func (e *Engine) answer(conn net.Conn, words ...string) {
+	if e.fills[conn] {
+		return
+	}
 	out := resp.AppendArray(nil, len(words))
 	for _, word := range words {
 		out = resp.AppendWord(out, word)
