A controller that the rig starts again knows what discovery has told by then, as the platform has it

Trace: n002's third life was ready 4.022 s after the begin and sent the job at 4.027 s, by the list of its configuration, which the rig had written at the very first start; the drain was told before 2.1 s. The rig writes them at each start; the audit is as strict as before. The soak prints the logs of controllers in whose jobs a breach was found, which showed it.

--- a/lab/fleet/audit.go
+++ b/lab/fleet/audit.go
@@ -39,22 +39,26 @@
 
 // evidence is what clients, engines and discovery saw.
 type evidence struct {
-	jobs   map[string]*ask
-	hosts  []*host
-	visits []seen
-	struck map[int]bool  // controllers that a fault ended, who begin anew and know nothing
-	slack  time.Duration // by which things are seen late
-	delay  *rigDelay     // when the rig itself did not run
-	gap    time.Duration // by which an attempt that was given up may go on at its engine
-	budget budget
-	cold   cold
-	length time.Duration // of the window in which a repeat of a keyed job is known
-	say    func(format string, args ...any)
+	jobs     map[string]*ask
+	hosts    []*host
+	visits   []seen
+	breached map[int]bool  // controllers whose jobs were found in a breach, or nil
+	struck   map[int]bool  // controllers that a fault ended, who begin anew and know nothing
+	slack    time.Duration // by which things are seen late
+	delay    *rigDelay     // when the rig itself did not run
+	gap      time.Duration // by which an attempt that was given up may go on at its engine
+	budget   budget
+	cold     cold
+	length   time.Duration // of the window in which a repeat of a keyed job is known
+	say      func(format string, args ...any)
 }
 
 // found tells of one breach, with what was seen.
 func (e *evidence) found(count *int, what, id string, j *ask, visits ...seen) {
 	*count++
+	if e.breached != nil {
+		e.breached[j.controller] = true
+	}
 	if e.say == nil {
 		return
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -325,6 +325,7 @@
 		}
 	}
 	p.Kill()
+	p.knows(f.discoveries[n])
 	if err := p.Start(30 * time.Second); err != nil {
 		f.mu.Lock()
 		f.crashes++
@@ -360,7 +361,7 @@
 		}
 	}
 	came := map[string]time.Duration{}
-	proof := evidence{jobs: map[string]*ask{}, hosts: f.hosts, struck: f.struck, slack: f.slack(), delay: &f.delay, budget: theBudget, cold: theCold,
+	proof := evidence{jobs: map[string]*ask{}, hosts: f.hosts, struck: f.struck, breached: map[int]bool{}, slack: f.slack(), delay: &f.delay, budget: theBudget, cold: theCold,
 		length: keyWindow, say: f.Say}
 	if f.linked { // the word to stop an attempt may be held up on its link
 		proof.gap = proof.slack
@@ -386,6 +387,9 @@
 		audit.Doubled += doubled
 	}
 	proof.judge(&audit)
+	for n := range proof.breached {
+		f.Say("log of %s, of a run that began at %v:\n%s", f.processes[n].Name, f.began.UTC().Format(time.RFC3339Nano), f.processes[n].Log())
+	}
 	f.countViolations(&audit)
 	for _, list := range f.discoveries {
 		run.DiscoveryCalls = append(run.DiscoveryCalls, list.Times(f.began)...)
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"yarrowbarrow/lab/standin/discovery"
 )
 
 // Setup is the platform's configuration of one controller.
@@ -124,6 +126,13 @@
 	}
 }
 
+// knows has the next life begin with what discovery has told by now, as the platform does.
+func (p *Process) knows(list *discovery.Discovery) {
+	p.files.Lock()
+	defer p.files.Unlock()
+	p.Known = list.Since(0)
+}
+
 func (p *Process) setStarting(yes bool) {
 	p.files.Lock()
 	defer p.files.Unlock()
--- a/lab/fleet/soak.go
+++ b/lab/fleet/soak.go
@@ -236,7 +236,9 @@
 
 // reconfigure writes another configuration for a process, to be taken with HUP; a torn one ends in the middle.
 func (p *Process) reconfigure(address string, torn bool) {
+	p.files.Lock()
 	setup := p.Setup
+	p.files.Unlock()
 	setup.Discovery = address
 	if err := p.configure(setup, torn); err != nil {
 		panic(fmt.Sprint("a configuration can't be written: ", err)) // the rig's own folder
