--- a/lab/fleet/memory_test.go
+++ b/lab/fleet/memory_test.go
@@ -16,68 +16,71 @@
 // floodedMB is the limit of a process that floods come to: the least that the configuration allows, and the most of the scored days.
 var floodedMB = []int64{32, 192}
 
-// TestMemoryLimitUnderClientFloods: clients that send at full speed, or read nothing, don't have the process pass its limit.
-func TestMemoryLimitUnderClientFloods(t *testing.T) {
+// underFloods plays each flood against a process of its own at each limit, which stays within that and goes on serving.
+func underFloods(t *testing.T, floods []flood.Flood, play func(*testing.T, flood.Flood, Limits) *Process) {
+	t.Helper()
 	for _, limit := range floodedMB {
-		for _, f := range flood.Clients("quick") {
+		for _, f := range floods {
 			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
-				p, _, _ := between(t, 256, shortSettings, 1)
-				p.Limits.MemoryMB = limit
-				if err := p.Start(patience); err != nil {
-					t.Fatal(err)
-				}
-				var floods sync.WaitGroup
-				for range 16 {
-					floods.Add(1)
-					go func() {
-						defer floods.Done()
-						_ = f.Run(p.Listen)
-					}()
-				}
-				floods.Wait()
-				staysWithinMemory(t, p)
+				staysWithinMemory(t, play(t, f, Limits{Cores: 1, MemoryMB: limit, Sockets: 256}))
 			})
 		}
 	}
 }
 
+// begins starts a process with limits.
+func begins(t *testing.T, p *Process, limits Limits) *Process {
+	t.Helper()
+	p.Limits = limits
+	if err := p.Start(patience); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// TestMemoryLimitUnderClientFloods: clients that send at full speed, or read nothing, don't have the process pass its limit.
+func TestMemoryLimitUnderClientFloods(t *testing.T) {
+	underFloods(t, flood.Clients("quick"), func(t *testing.T, f flood.Flood, limits Limits) *Process {
+		p, _, _ := between(t, limits.Sockets, shortSettings, 1)
+		begins(t, p, limits)
+		var floods sync.WaitGroup
+		for range 16 {
+			floods.Add(1)
+			go func() {
+				defer floods.Done()
+				_ = f.Run(p.Listen)
+			}()
+		}
+		floods.Wait()
+		return p
+	})
+}
+
 // TestMemoryLimitUnderEngineFloods: the same by engines that a request has come to.
 func TestMemoryLimitUnderEngineFloods(t *testing.T) {
-	for _, limit := range floodedMB {
-		for _, f := range flood.Engines() {
-			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
-				p, list, _ := between(t, 256, shortSettings, 0)
-				list.Tell(true, discovery.Host{Host: "e0", Dial: flooding(t, f), Site: "east", Class: "std", Health: "active"})
-				p.Limits.MemoryMB, p.Known = limit, list.Since(0)
-				if err := p.Start(patience); err != nil {
-					t.Fatal(err)
-				}
-				g := newGuest(t, p, 1)
-				for range 16 {
-					g.tries()
-				}
-				_ = g.answered()
-				staysWithinMemory(t, p)
-			})
+	underFloods(t, flood.Engines(), func(t *testing.T, f flood.Flood, limits Limits) *Process {
+		p, list, _ := between(t, limits.Sockets, shortSettings, 0)
+		list.Tell(true, discovery.Host{Host: "e0", Dial: flooding(t, f), Site: "east", Class: "std", Health: "active"})
+		p.Known = list.Since(0)
+		begins(t, p, limits)
+		g := newGuest(t, p, 1)
+		for range 16 {
+			g.tries()
 		}
-	}
+		_ = g.answered()
+		return p
+	})
 }
 
 // TestMemoryLimitUnderDiscoveryFloods: the same by discovery.
 func TestMemoryLimitUnderDiscoveryFloods(t *testing.T) {
-	for _, limit := range floodedMB {
-		for _, f := range flood.Discoveries() {
-			t.Run(fmt.Sprint(f.Name, " at ", limit, " MB"), func(t *testing.T) {
-				p, _, _ := between(t, 256, shortSettings, 1)
-				p.Limits.MemoryMB, p.Discovery = limit, flooding(t, f)
-				if err := p.Start(patience); err != nil {
-					t.Fatal(err)
-				}
-				time.Sleep(time.Second)
-				staysWithinMemory(t, p)
-			})
-		}
-	}
+	underFloods(t, flood.Discoveries(), func(t *testing.T, f flood.Flood, limits Limits) *Process {
+		p, _, _ := between(t, limits.Sockets, shortSettings, 1)
+		p.Discovery = flooding(t, f)
+		begins(t, p, limits)
+		time.Sleep(time.Second)
+		return p
+	})
 }
 
 // flooding is the address of a peer that answers what it reads first with a flood.
