--- /dev/null
+++ b/review/rig/burst.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The burst case: sound clients, each with a request that is being run, send one request with a long statement each at the same moment.
+// Without the disruption they send the same requests one after the other.
+const (
+	burstClients = 100
+	burstBytes   = 250_000 // a frame may have 262,144
+	burstWait    = 10 * time.Second
+)
+
+func burstCase(r *run) int {
+	d := r.deploy(1, 8, settings(1), limits{1, 64, 512})
+	defer d.stop()
+	var clients []*client
+	var all []*request
+	for n := range burstClients {
+		c, err := dialClient(d.controllers[0].address)
+		must(err)
+		clients = append(clients, c)
+		q := &request{id: fmt.Sprintf("00000001%08x", n), class: "lookup", wait: 6 * time.Second, cost: "2000.0",
+			statement: "select state from forms_1.status /* work=2000 */"}
+		must(c.send(q))
+		all = append(all, q)
+	}
+	time.Sleep(time.Second)
+	r.note("the clients' connections are up, with a request open on each")
+	long := strings.Repeat("x", burstBytes)
+	var senders sync.WaitGroup
+	for n, c := range clients {
+		q := &request{id: fmt.Sprintf("00000002%08x", n), class: "load", once: fmt.Sprintf("%032x", n), wait: burstWait, cost: "20.0",
+			statement: "insert into forms_1.uploads values ('" + long + "') /* work=20 */"}
+		all = append(all, q)
+		if !r.trouble {
+			must(c.send(q))
+			time.Sleep(30 * time.Millisecond)
+			continue
+		}
+		senders.Add(1)
+		go func() {
+			defer senders.Done()
+			_ = c.send(q)
+		}()
+	}
+	senders.Wait()
+	r.note("each of %d clients has sent a request of %d bytes", burstClients, burstBytes)
+	time.Sleep(burstWait + 2*time.Second)
+	lost := r.countAnswers(all)
+	if lost > 0 {
+		return broken
+	}
+	return held
+}
