--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -42,6 +42,7 @@
 	answerAt  time.Time
 	answers   int
 	closedAt  time.Time // when its connection ended before an answer
+	takenBack time.Time // when the system had taken the word that nobody waits for it any more
 	done      chan struct{}
 }
 
@@ -156,3 +157,27 @@
 	c.mu.Unlock()
 	return nil
 }
+
+// takeBack tells the controller that nobody waits for requests any more.
+func (c *client) takeBack(all []*request) {
+	var text []byte
+	c.mu.Lock()
+	for _, q := range all {
+		if c.open[q.stream] == q {
+			delete(c.open, q.stream)
+			text = appendFrame(text, frameCancel, q.stream, nil)
+		}
+	}
+	c.mu.Unlock()
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_, _ = c.conn.Write(text)
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, q := range all {
+		if q.code == 0 {
+			q.takenBack = now
+		}
+	}
+}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	running   map[string]*execution
 	completed map[string]int
+	received  map[string][]time.Time // when a request came whole, by its id
 }
 
 // execution is a request that an engine runs.
@@ -35,7 +36,8 @@
 func (r *run) startEngine(name string, cores int) *engine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	e := &engine{r: r, name: name, cores: cores, listener: l, running: map[string]*execution{}, completed: map[string]int{}}
+	e := &engine{r: r, name: name, cores: cores, listener: l, running: map[string]*execution{}, completed: map[string]int{},
+		received: map[string][]time.Time{}}
 	go func() {
 		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
 			go e.serve(conn)
@@ -117,6 +119,7 @@
 	id := words[1]
 	switch words[0] {
 	case "serve":
+		e.received[id] = append(e.received[id], time.Now())
 		if len(e.running) >= 8*e.cores {
 			_, _ = conn.Write(encode(id, "SHED", "-", ""))
 			return
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(couldNot)
 	}
-	cases := map[string]func(*run) int{"pipeline": pipelineCase, "burst": burstCase}
+	cases := map[string]func(*run) int{"pipeline": pipelineCase, "burst": burstCase, "leave": leaveCase}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
