--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -22,7 +22,7 @@
 	mu        sync.Mutex
 	running   map[string]*execution
 	completed map[string]int
-	received  map[string][]time.Time // when a request came whole, by its id
+	received  map[string][]time.Time // when the first byte of a request came, by its id
 }
 
 // execution is a request that an engine runs.
@@ -96,6 +96,8 @@
 func (e *engine) serve(conn net.Conn) {
 	in := bufio.NewReaderSize(conn, 64<<10)
 	for {
+		_, _ = in.Peek(1)
+		begun := time.Now()
 		words, err := readCommand(in)
 		if err != nil || len(words) < 2 {
 			e.mu.Lock()
@@ -109,17 +111,17 @@
 			conn.Close()
 			return
 		}
-		e.handle(conn, words)
+		e.handle(conn, words, begun)
 	}
 }
 
-func (e *engine) handle(conn net.Conn, words []string) {
+func (e *engine) handle(conn net.Conn, words []string, begun time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := words[1]
 	switch words[0] {
 	case "serve":
-		e.received[id] = append(e.received[id], time.Now())
+		e.received[id] = append(e.received[id], begun)
 		if len(e.running) >= 8*e.cores {
 			_, _ = conn.Write(encode(id, "SHED", "-", ""))
 			return
