--- a/controller/engines.go
+++ b/controller/engines.go
@@ -205,6 +205,7 @@
 	crowded := c.linkCount >= c.maxLinks()*3/4
 	for i, neededDials := 0, 1; i < len(e.waiting); {
 		a := e.waiting[i]
+		c.counts[attemptsChecked]++
 		if !c.maySend(a) {
 			e.waiting = slices.Delete(e.waiting, i, i+1)
 			c.counts[attemptsUnfit]++
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -45,6 +45,7 @@
 		c.logEvent(slog.LevelWarn, "late", "by", c.now-c.timers[0].dueAt)
 	}
 	for len(c.timers) > 0 && c.timers[0].dueAt <= c.now {
+		c.counts[timersRun]++
 		c.runLater(heap.Pop(&c.timers).(timerEvent).call)
 	}
 }
