One timer for attempts that wait for input, and no search of all that wait on each event

Cause: placeWaiting scheduled one more call of itself, for the whole engine, for each waiting attempt whose client had unread input. W attempts multiplied the timers by W every 2 ms under the lock. Each arrival and each end of an attempt went through all waiting attempts as well.

Why the fix works: attempts that wait for input share one timer; the others stand in a list from which a free connection takes the first, and are removed without a search.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -72,12 +72,15 @@
 	linkCount       int       // connections to engines, including dials
 	descriptorQueue []*engine // engines that wait for a descriptor, in order
 	closingForRoom  int       // connections that are being closed for them
-	discovery       *discovery
-	timers          timerHeap
-	runtimeTimer    *time.Timer
-	pendingCalls    []func()
-	logRecords      []slog.Record
-	counts          [counterCount]int64
+	// attempts without a connection that wait for unread input, and whether a check of them is scheduled
+	awaitingInput       []*attempt
+	inputCheckScheduled bool
+	discovery           *discovery
+	timers              timerHeap
+	runtimeTimer        *time.Timer
+	pendingCalls        []func()
+	logRecords          []slog.Record
+	counts              [counterCount]int64
 
 	violations [invariant.Count]int64
 	lastStall  stall
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -27,7 +27,7 @@
 	startedAt     time.Duration // by the controller's clock, 0 if long ago
 	drainingSince time.Duration // since when it is not to receive new jobs, 0 while it may
 	links         []*engineLink
-	waiting       []*attempt // attempts that wait for a connection
+	waiting       waitingAttempts
 	dials         map[int64]context.CancelFunc
 	// consecutive dials that failed for lack of a local resource
 	dialRetries int
@@ -169,7 +169,7 @@
 // time.
 func (c *Controller) withdrawUnsent(e *engine) {
 	c.withdrawQueued(e)
-	for _, a := range e.waiting {
+	for _, a := range e.waiting.oldest(e.waiting.all.Len()) {
 		c.runLater(func() { c.withdrawAttempt(a) })
 	}
 }
@@ -186,56 +186,11 @@
 
 // failWaiting ends the attempts that wait for a connection to an engine, beyond those for which a dial is under way.
 func (c *Controller) failWaiting(e *engine, outcome logic.Outcome) {
-	for _, a := range slices.Clone(e.waiting[:max(len(e.waiting)-len(e.dials), 0)]) {
+	for _, a := range e.waiting.oldest(e.waiting.all.Len() - len(e.dials)) {
 		c.runLater(func() { c.finishAttempt(a, outcome) })
 	}
 }
 
-// sendAttempt queues an attempt for a connection to its engine; usually one is open already.
-func (c *Controller) sendAttempt(a *attempt) {
-	c.markActive(a.engine)
-	a.engine.waiting = append(a.engine.waiting, a)
-	c.placeWaiting(a.engine)
-}
-
-// placeWaiting assigns waiting attempts to connections. Each attempt has a connection to itself while descriptors last,
-// because a malformed or lost answer fails everything that is open on its connection. After that attempts share
-// connections, up to the number in the settings.
-func (c *Controller) placeWaiting(e *engine) {
-	crowded := c.linkCount >= c.maxLinks()*3/4
-	for i, neededDials := 0, 1; i < len(e.waiting); {
-		a := e.waiting[i]
-		c.counts[attemptsChecked]++
-		if !c.maySend(a) {
-			e.waiting = slices.Delete(e.waiting, i, i+1)
-			c.counts[attemptsUnfit]++
-			c.runLater(func() { c.withdrawAttempt(a) })
-			continue
-		}
-		if c.mustAwaitInput(a) {
-			// Counted from clock() and not from c.now, which lags far behind in a stalled process.
-			c.schedule(c.clock()+unreadRecheckInterval, func() { c.placeWaiting(e) })
-			i++
-			continue
-		}
-		l := e.leastLoadedLink(a.job)
-		if l != nil && (len(l.attempts) == 0 || crowded && len(l.attempts) < c.cfg.Settings.JobsPerConnection) {
-			e.waiting = slices.Delete(e.waiting, i, i+1)
-			if c.mayBegin(a) {
-				c.writeAttempt(a, l)
-			} else {
-				c.counts[attemptsUnfit]++
-				c.runLater(func() { c.withdrawAttempt(a) })
-			}
-			continue
-		}
-		if len(e.dials) == 0 || !crowded && len(e.dials) < neededDials {
-			c.dial(e)
-		}
-		i, neededDials = i+1, neededDials+1
-	}
-}
-
 // mayBegin asks the module again about an attempt that has waited since it was decided.
 func (c *Controller) mayBegin(a *attempt) bool {
 	return c.now == a.decidedAt || c.logic.MayStart(c.now, a.job.id)
@@ -303,7 +258,7 @@
 func (c *Controller) releaseAttempt(a *attempt) {
 	j := a.job
 	if a.link == nil {
-		a.engine.waiting = slices.DeleteFunc(a.engine.waiting, func(other *attempt) bool { return other == a })
+		a.engine.waiting.remove(a)
 		return
 	}
 	l := a.link
@@ -331,7 +286,7 @@
 	}
 	if l.retired && len(l.attempts) == 0 {
 		l.closeWhenFlushed()
-	} else if len(l.engine.waiting) > 0 {
+	} else if l.engine.waiting.ready.Len() > 0 {
 		c.placeWaiting(l.engine)
 	}
 	if len(l.attempts) == 0 && len(c.descriptorQueue) > 0 {
@@ -489,7 +444,7 @@
 		if e.state == logic.Gone {
 			c.closeIdleLinks(e, 0)
 		}
-		if len(e.links) == 0 && len(e.waiting) == 0 && len(e.dials) == 0 {
+		if len(e.links) == 0 && e.waiting.all.Len() == 0 && len(e.dials) == 0 {
 			delete(c.activeEngines, id)
 			c.forgetGoneEngine(e)
 		}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"container/list"
 	"log/slog"
 	"strconv"
 	"sync/atomic"
@@ -56,6 +57,9 @@
 	stopRequested      bool          // the engine was told to stop, or its connection closed
 	fenced             bool          // waits until the previous attempt has stopped
 	awaitingInputSince time.Duration // since when it waits for unread client input to be read, or 0
+	checkedAt          time.Duration // when it was last checked while it had no connection
+	awaitsInput        bool          // it is in Controller.awaitingInput
+	inAll, inReady     *list.Element // its places in the lists of its engine, or nil
 	withdrawn          bool          // withdrawn before any byte was sent
 	work               time.Duration // as the engine reports them with the result, like memory and load
 	memory             float64
--- /dev/null
+++ b/controller/waiting.go
@@ -0,0 +1,185 @@
+package controller
+
+import "container/list"
+
+// This file keeps the attempts that have no connection yet. Each event looks at the attempts that it may help and at no
+// others: a check of all of them on each arrival would take the lock for longer the more of them wait.
+
+// waitingAttempts lists the attempts for one engine that have no connection.
+type waitingAttempts struct {
+	all   list.List // in the order in which they were decided
+	ready list.List // those that wait for nothing but a connection, in the order in which they became ready
+}
+
+// add adds an attempt that is not ready.
+func (w *waitingAttempts) add(a *attempt) { a.inAll = w.all.PushBack(a) }
+
+// setReady adds an attempt to the ready ones.
+func (w *waitingAttempts) setReady(a *attempt) {
+	if a.inReady == nil {
+		a.inReady = w.ready.PushBack(a)
+	}
+}
+
+// remove removes an attempt, if it is there.
+func (w *waitingAttempts) remove(a *attempt) {
+	w.unready(a)
+	if a.inAll != nil {
+		w.all.Remove(a.inAll)
+		a.inAll = nil
+	}
+}
+
+// unready removes an attempt from the ready ones.
+func (w *waitingAttempts) unready(a *attempt) {
+	if a.inReady != nil {
+		w.ready.Remove(a.inReady)
+		a.inReady = nil
+	}
+}
+
+// oldest returns the first attempts in the order in which they were decided.
+func (w *waitingAttempts) oldest(count int) []*attempt {
+	attempts := make([]*attempt, 0, max(count, 0))
+	for item := w.all.Front(); item != nil && len(attempts) < count; item = item.Next() {
+		attempts = append(attempts, item.Value.(*attempt))
+	}
+	return attempts
+}
+
+// sendAttempt queues an attempt for a connection to its engine; usually one is open already.
+func (c *Controller) sendAttempt(a *attempt) {
+	e := a.engine
+	c.markActive(e)
+	e.waiting.add(a)
+	c.admitWaiting(a)
+	c.placeWaiting(e)
+}
+
+// admitWaiting checks an attempt that has no connection: it becomes ready, waits for unread input, or is withdrawn.
+func (c *Controller) admitWaiting(a *attempt) {
+	c.counts[attemptsChecked]++
+	a.checkedAt = c.now
+	switch {
+	case !c.maySend(a):
+		c.withdrawUnfit(a)
+	case c.mustAwaitInput(a):
+		a.engine.waiting.unready(a)
+		c.awaitInput(a)
+	default:
+		a.engine.waiting.setReady(a)
+	}
+}
+
+// withdrawUnfit withdraws an attempt that must not be sent any more.
+func (c *Controller) withdrawUnfit(a *attempt) {
+	a.engine.waiting.remove(a)
+	c.counts[attemptsUnfit]++
+	c.runLater(func() { c.withdrawAttempt(a) })
+}
+
+// maxPassedOver bounds the attempts that are passed over in one search because they can use none of the free
+// connections.
+const maxPassedOver = 8
+
+// placeWaiting assigns the ready attempts to connections, in order. Each attempt has a connection to itself while
+// descriptors last, because a malformed or lost answer fails everything that is open on its connection. After that
+// attempts share connections, up to the number in the settings.
+func (c *Controller) placeWaiting(e *engine) {
+	passedOver := 0
+	for item := e.waiting.ready.Front(); item != nil && passedOver < maxPassedOver; {
+		a := item.Value.(*attempt)
+		item = item.Next()
+		l := c.freeLink(e, a.job)
+		if l == nil && len(a.job.usedLinks) == 0 {
+			break // no connection is free
+		}
+		if l == nil {
+			passedOver++
+			continue
+		}
+		c.place(a, l)
+	}
+	c.dialForWaiting(e)
+}
+
+// place puts a ready attempt on a connection, unless it may not be sent any more.
+func (c *Controller) place(a *attempt, l *engineLink) {
+	if a.checkedAt != c.now {
+		if c.admitWaiting(a); a.inReady == nil {
+			return
+		}
+	}
+	if !c.mayBegin(a) {
+		c.withdrawUnfit(a)
+		return
+	}
+	a.engine.waiting.remove(a)
+	c.writeAttempt(a, l)
+}
+
+// freeLink returns a connection that may carry a job, or nil.
+func (c *Controller) freeLink(e *engine, j *job) *engineLink {
+	l := e.leastLoadedLink(j)
+	if l != nil && (len(l.attempts) == 0 || c.linksCrowded() && len(l.attempts) < c.cfg.Settings.JobsPerConnection) {
+		return l
+	}
+	return nil
+}
+
+// linksCrowded reports whether descriptors run short, so that attempts share connections.
+func (c *Controller) linksCrowded() bool { return c.linkCount >= c.maxLinks()*3/4 }
+
+// dialForWaiting opens a connection for each ready attempt, or one for all of them where descriptors run short.
+func (c *Controller) dialForWaiting(e *engine) {
+	for {
+		wanted := e.waiting.ready.Len()
+		if c.linksCrowded() {
+			wanted = min(wanted, 1)
+		}
+		dialing := len(e.dials)
+		if dialing >= wanted {
+			return
+		}
+		if c.dial(e); len(e.dials) == dialing { // none can be opened now
+			return
+		}
+	}
+}
+
+// awaitInput has an attempt checked again while input that it depends on is unread.
+func (c *Controller) awaitInput(a *attempt) {
+	if a.awaitsInput {
+		return
+	}
+	a.awaitsInput = true
+	c.awaitingInput = append(c.awaitingInput, a)
+	c.scheduleInputCheck()
+}
+
+// scheduleInputCheck schedules the next check of the attempts that wait for input: one for all of them. It counts from
+// clock() and not from c.now, which lags far behind in a stalled process.
+func (c *Controller) scheduleInputCheck() {
+	if c.inputCheckScheduled || len(c.awaitingInput) == 0 {
+		return
+	}
+	c.inputCheckScheduled = true
+	c.schedule(c.clock()+unreadRecheckInterval, c.checkAwaitingInput)
+}
+
+// checkAwaitingInput checks the attempts that wait for input once.
+func (c *Controller) checkAwaitingInput() {
+	c.inputCheckScheduled = false
+	awaiting := c.awaitingInput
+	c.awaitingInput = nil
+	for _, a := range awaiting {
+		a.awaitsInput = false
+		if a.inAll == nil { // it has ended, or is on its way
+			continue
+		}
+		if c.admitWaiting(a); a.inReady != nil {
+			c.placeWaiting(a.engine)
+		}
+	}
+	c.scheduleInputCheck()
+}
