--- a/controller/controller.go
+++ b/controller/controller.go
@@ -55,6 +55,7 @@
 	phase           Phase
 	logic           logic.Module
 	newModule       func(logic.Host, logic.Settings, int64) logic.Module
+	moduleStarts    int                // how often a new module was started after a panic
 	router          *route.Router      // nil without an operators' file
 	plan            *route.Plan        // the newest version
 	stagger         *subsetting.Jitter // staggers calls in time against those of the other controllers
--- a/controller/host.go
+++ b/controller/host.go
@@ -94,8 +94,14 @@
 	}
 }
 
+// StartTimer wakes the module after a delay, unless a new one has been started by then, which sets timers of its own.
 func (h host) StartTimer(timer logic.TimerID, delay time.Duration) {
-	h.c.schedule(h.c.now+delay, func() { h.c.logic.TimerDue(h.c.now, timer) })
+	start := h.c.moduleStarts
+	h.c.schedule(h.c.now+delay, func() {
+		if h.c.moduleStarts == start {
+			h.c.logic.TimerDue(h.c.now, timer)
+		}
+	})
 }
 
 func (h host) FollowList(on bool)      { h.c.runLater(func() { h.c.discovery.setFollowing(on) }) }
--- a/controller/panics_test.go
+++ b/controller/panics_test.go
@@ -60,6 +60,56 @@
 	cl.expectFrame(frame.Answer, 91, frame.Done, rowB)
 }
 
+// countingModule counts its timers.
+type countingModule struct {
+	logic.Module
+	timers *int
+}
+
+func (m countingModule) TimerDue(now time.Duration, timer logic.TimerID) {
+	*m.timers++
+	m.Module.TimerDue(now, timer)
+}
+
+// TestOneTimerChainAfterPanics guards against timers of a module that a panic has replaced: each went on beside those of
+// the new module, so that every panic added a chain of sweeps.
+func TestOneTimerChainAfterPanics(t *testing.T) {
+	const rounds, interval = 5, 21 * time.Millisecond // the module sweeps every 20 ms
+	e := newFakeEngine(t, "127.0.0.1:0")
+	timers := 0
+	b := startPrepared(t, "", nil, func(c *Controller) {
+		module := c.newModule
+		c.newModule = func(h logic.Host, s logic.Settings, seed int64) logic.Module {
+			return countingModule{module(h, s, seed), &timers}
+		}
+	}, e)
+	b.connect()
+	b.c.withLock(func() { // no job ends between the panics
+		for range maxPanics {
+			b.takeJob()
+			b.c.handlePanic("for the test")
+		}
+		b.takeJob()
+		timers = 0
+		for range rounds {
+			b.elapse(interval)
+		}
+		if timers == 0 || timers > rounds {
+			t.Errorf("%d sweeps in %d intervals", timers, rounds)
+		}
+	})
+}
+
+// takeJob hands a new job of the only client to the module. The lock is held.
+func (b *testbed) takeJob() {
+	for _, cl := range b.c.clients {
+		cl.lastStream++
+		j := &job{id: jobIDOf(cl.lastStream), stream: cl.lastStream, client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + time.Minute}
+		cl.jobs[j.stream], b.c.jobs[j.id] = j, j
+		b.c.logic.JobArrived(b.c.now, j.id, j.class, "", "", j.deadline, 0, 0, 0, false, nil)
+	}
+}
+
 // TestPanicInWriterEndsProcess: a panic in a connection's writer closes only that connection.
 func TestPanicInWriterEndsProcess(t *testing.T) {
 	var faulty atomic.Bool
