A panic in one message does not lose the messages read with it

What callers saw: where handling one message panicked, requests and cancels behind it in the same read were taken from the connection and never handled: no answer, or sent on after the cancel.

Cause: all messages of a read ran as one guarded call.

Evidence: TestPanicLosesNoOtherMessage has no attempt for the second job of a write without the change, and its answer with it. Each message, and each call after a write, now has a guard of its own.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -255,7 +255,7 @@
 	}
 	c.withLock(func() {
 		for _, call := range calls {
-			call()
+			c.runGuarded(call)
 		}
 	})
 }
--- a/controller/link.go
+++ b/controller/link.go
@@ -418,8 +418,8 @@
 	if len(calls) > 0 {
 		l.c.withLock(func() {
 			l.readWaiting.Store(false)
-			for _, call := range calls {
-				call()
+			for _, call := range calls { // a panic in one message must not lose those behind it
+				l.c.runGuarded(call)
 			}
 		})
 	}
--- a/controller/panics_test.go
+++ b/controller/panics_test.go
@@ -60,6 +60,27 @@
 	cl.expectFrame(frame.Answer, 91, frame.Done, rowB)
 }
 
+// TestPanicLosesNoOtherMessage guards against a panic in one message that drops the messages read with it: their jobs had
+// no answer, and their cancels no effect.
+func TestPanicLosesNoOtherMessage(t *testing.T) {
+	e := newFakeEngine(t, "127.0.0.1:0")
+	var faultyJobs atomic.Bool
+	b := startPrepared(t, "", nil, func(c *Controller) {
+		module := c.newModule
+		c.newModule = func(h logic.Host, s logic.Settings, seed int64) logic.Module {
+			faultyJobs.Store(false) // the module after the first panic is sound
+			return faultyModule{module(h, s, seed), &faultyJobs}
+		}
+	}, e)
+	cl := b.connect()
+	faultyJobs.Store(true)
+	frames := jobFrame(1, "select 1", "class", "quick", "id", string(jobIDOf(1)), "wait", "2900")
+	cl.write(append(frames, jobFrame(2, "select 1", "class", "quick", "id", string(jobIDOf(2)), "wait", "2900")...))
+	cl.expectFrame(frame.Answer, 1, frame.Failed, "")
+	e.expectCommand("serve").answer("HIT", "count=1", rowB)
+	cl.expectFrame(frame.Answer, 2, frame.Done, rowB)
+}
+
 // countingModule counts its timers.
 type countingModule struct {
 	logic.Module
