Jobs and attempts wait until the input of their client is read

Cause: a job was sent on as it was read, although its cancel had arrived and lay behind other input of its client; attempts that waited looked for unread input, and were sent after 50 ms whatever was still unread.

Why the fix works: the kernel's count of received bytes, compared with the bytes handled, tells whether anything of a client is unread, in the kernel, in netpoll or in a read that waits for the lock. Jobs go to the module, and attempts to a connection, only while all that had arrived 50 ms ago was handled; the writer's last moment counts from then. The wait ends with the read, or after 250 ms by a refusal or a withdrawal. TestCancelUnread is replaced: it holds the cancel back for 0.2 s in each of the three places, where it asked for 50 ms in one.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -30,6 +30,7 @@
 	turnedAway   bool            // refused for lack of room, and told so
 	refusesJobs  bool            // the connection is closing: a job that arrives meanwhile is refused
 	malformed    atomic.Bool     // its input was malformed: whatever else arrives is discarded
+	input        clientInput
 }
 
 // maxClients is half of the descriptors. Well-behaved clients stay within a third, and with more than half the
@@ -57,6 +58,7 @@
 		c.clients[cl.id] = cl
 	}
 	cl.gracefulClose, cl.onShutdown = true, func() { cl.malformed.Store(true) }
+	cl.onInputBegins, cl.onInputHandled = cl.inputBegins, cl.inputHandled
 	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 		c.withLock(func() { c.clientClosed(cl) })
 		runner.linkClosing(cl.link)
@@ -146,6 +148,7 @@
 	}
 	c.forgetClient(cl)
 	c.cancelAllJobs(cl)
+	cl.dropWaiting()
 }
 
 // cancelAllJobs cancels the jobs of a client that is gone.
@@ -375,11 +378,8 @@
 		}
 		c.jobs[j.id] = j
 		c.jobBytes += int64(len(j.statement))
-		if !c.admitToRoute(j, customer, costMS, needMB, tables) {
-			return
-		}
-		c.logic.JobArrived(c.now, j.id, j.class, tenant, key, j.deadline, time.Duration(costMS*float64(time.Millisecond)),
-			needMB, logic.Tables(max(tables, 0)), isRetry, j.placement)
+		c.queueArrival(cl, arrival{job: j, customer: customer, tenant: tenant, key: key, costMS: costMS, memoryMB: needMB, tables: tables,
+			isRetry: isRetry})
 	}
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -67,21 +67,19 @@
 	engines         map[logic.EngineID]*engine
 	engineByAddress map[string]*engine // the current owner of each address
 	// engines with connections, dials or waiting attempts, and those that are gone
-	activeEngines   map[logic.EngineID]*engine
-	probes          map[string]*probe
-	fences          map[string]*attempt
-	linkCount       int       // connections to engines, including dials
-	descriptorQueue []*engine // engines that wait for a descriptor, in order
-	closingForRoom  int       // connections that are being closed for them
-	// attempts without a connection that wait for unread input, and whether a check of them is scheduled
-	awaitingInput       []*attempt
-	inputCheckScheduled bool
-	discovery           *discovery
-	timers              timerHeap
-	runtimeTimer        *time.Timer
-	pendingCalls        []func()
-	logRecords          []slog.Record
-	counts              [counterCount]int64
+	activeEngines     map[logic.EngineID]*engine
+	probes            map[string]*probe
+	fences            map[string]*attempt
+	linkCount         int        // connections to engines, including dials
+	descriptorQueue   []*engine  // engines that wait for a descriptor, in order
+	closingForRoom    int        // connections that are being closed for them
+	awaitingDiscovery []*attempt // attempts without a connection that wait for input of discovery to be read
+	discovery         *discovery
+	timers            timerHeap
+	runtimeTimer      *time.Timer
+	pendingCalls      []func()
+	logRecords        []slog.Record
+	counts            [counterCount]int64
 
 	violations [invariant.Count]int64
 	lastStall  stall
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -206,8 +206,8 @@
 	return best
 }
 
-// maxQueueTime is how long an attempt may stay queued on its connection, beyond the tick for which a writer pauses. An
-// attempt that is still unsent after that, because the process stalled or the engine reads nothing, is withdrawn and
+// maxQueueTime is how long after the input of its client was up to date an attempt may stay queued on its connection,
+// beyond the tick for which a writer pauses. An attempt that is still unsent after that, because the process stalled or the engine reads nothing, is withdrawn and
 // decided again: its client, its engine and its time were checked when it was queued.
 const maxQueueTime = 85 * time.Millisecond
 
@@ -231,7 +231,11 @@
 	a.link, j.lastSent, j.usedLinks = l, a, append(j.usedLinks, l)
 	l.attempts[j.id] = a
 	l.lastUsed = c.now
-	sendBy := min(a.sendBy, c.now+maxQueueTime+c.cfg.Settings.Logic.Tick)
+	a.inputUpToDateAt = c.now
+	if j.client != nil {
+		a.inputUpToDateAt = j.client.input.upToDateAt
+	}
+	sendBy := min(a.sendBy, a.inputUpToDateAt+maxQueueTime+c.cfg.Settings.Logic.Tick)
 	a.messageNumber = l.enqueueUntil(sendBy, &a.firstByteAt, head, j.statement, []byte("\r\n"))
 	if sendBy < a.sendBy {
 		c.schedule(sendBy, func() { c.withdrawAttempt(a) })
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -23,6 +23,7 @@
 	statement      []byte
 	acceptedAt     time.Duration // by the controller's clock
 	deadline       time.Duration // when the answer must be sent, by the same clock; 0 for a job that was refused on arrival
+	notHandedOver  bool          // it waits for the input of its client and the module does not know it
 	memoryMB       int64
 	priority       int
 	placement      logic.Placement            // assigned by the operators' routes, or nil
@@ -39,31 +40,31 @@
 
 // attempt is one attempt to run a job on an engine, from the module's decision until its outcome is reported.
 type attempt struct {
-	job                *job
-	number             int // number of the attempt within its job, from 0
-	engine             *engine
-	link               *engineLink   // nil until a connection is available
-	messageNumber      int64         // its number on the link
-	firstByteAt        atomic.Int64  // when its first byte was sent, by the controller's clock, or 0
-	decidedAt          time.Duration // when the module decided it
-	deadline           time.Duration // the answer must arrive before
-	sendBy             time.Duration // its first byte must be sent before
-	pages              [][]byte
-	resultBytes        int           // bytes of the pages received
-	missingPages       int           // pages not received yet
-	pagesRequestedAt   time.Duration // when the remaining pages were requested
-	lastPageAt         time.Duration // when the last page arrived
-	resultBegun        bool          // the first page of the result has arrived
-	stopRequested      bool          // the engine was told to stop, or its connection closed
-	fenced             bool          // waits until the previous attempt has stopped
-	awaitingInputSince time.Duration // since when it waits for unread client input to be read, or 0
-	checkedAt          time.Duration // when it was last checked while it had no connection
-	awaitsInput        bool          // it is in Controller.awaitingInput
-	inAll, inReady     *list.Element // its places in the lists of its engine, or nil
-	withdrawn          bool          // withdrawn before any byte was sent
-	work               time.Duration // as the engine reports them with the result, like memory and load
-	memory             float64
-	load               logic.Load
+	job              *job
+	number           int // number of the attempt within its job, from 0
+	engine           *engine
+	link             *engineLink   // nil until a connection is available
+	messageNumber    int64         // its number on the link
+	firstByteAt      atomic.Int64  // when its first byte was sent, by the controller's clock, or 0
+	decidedAt        time.Duration // when the module decided it
+	deadline         time.Duration // the answer must arrive before
+	sendBy           time.Duration // its first byte must be sent before
+	pages            [][]byte
+	resultBytes      int           // bytes of the pages received
+	missingPages     int           // pages not received yet
+	pagesRequestedAt time.Duration // when the remaining pages were requested
+	lastPageAt       time.Duration // when the last page arrived
+	resultBegun      bool          // the first page of the result has arrived
+	stopRequested    bool          // the engine was told to stop, or its connection closed
+	fenced           bool          // waits until the previous attempt has stopped
+	heldSince        time.Duration // since when it last waited for the input of its client
+	inputUpToDateAt  time.Duration // when the input of its client had last been handled, as it was put on a connection
+	checkedAt        time.Duration // when it was last checked while it had no connection
+	inAll, inReady   *list.Element // its places in the lists of its engine, or nil
+	withdrawn        bool          // withdrawn before any byte was sent
+	work             time.Duration // as the engine reports them with the result, like memory and load
+	memory           float64
+	load             logic.Load
 }
 
 // noLoad stands for an engine that reported no load.
@@ -241,38 +242,12 @@
 	}
 }
 
-// unreadRecheckInterval is how long to wait for unread input to be read before checking again. maxUnreadWait bounds the
-// total wait: it is half of the 100 ms within which a client that is gone must be noticed, and short compared with a job.
-const unreadRecheckInterval, maxUnreadWait = 2 * time.Millisecond, 50 * time.Millisecond
-
-// mustAwaitInput reports whether an attempt that waited has to wait for unread input, because the process lags behind:
-// unread bytes of its client may say that the client is gone, and unread discovery events that the engine is.
-func (c *Controller) mustAwaitInput(a *attempt) bool {
-	if a.job.client == nil {
-		return false
-	}
-	if c.discoveryUnread() {
-		return true
-	}
-	if c.justRead(a.job) || !a.job.client.hasUnread() {
-		return false
-	}
-	if a.awaitingInputSince == 0 {
-		a.awaitingInputSince = c.clock()
-	}
-	return c.clock()-a.awaitingInputSince < maxUnreadWait
-}
-
-// justRead reports whether a job was read at this very moment by a process that is not catching up after a stall: then no
-// earlier input of its client can be unread. What is read after a stall may be old.
-func (c *Controller) justRead(j *job) bool { return c.now == j.acceptedAt && !c.catchingUp() }
-
 // maySend reports whether an attempt may still be sent. While it waited for a connection or at a fence, its client may
 // have gone, its engine may have left service, or its time may have passed. It also asks the kernel whether the client
 // has closed its connection, which a stalled process may not have noticed yet.
 func (c *Controller) maySend(a *attempt) bool {
 	cl := a.job.client
-	if cl != nil && cl.peerClosed() {
+	if cl != nil && cl.hasClosed() {
 		c.runLater(func() { c.cancelAllJobs(cl) })
 		return false
 	}
--- a/controller/link.go
+++ b/controller/link.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"encoding/binary"
 	"errors"
 	"slices"
 	"sync"
@@ -29,7 +28,13 @@
 	onShutdown func()
 	// a read waits for the controller's lock, with bytes that are no longer in netpoll's buffer
 	readWaiting  atomic.Bool
-	discardInput atomic.Bool // its input was malformed: whatever else arrives is discarded
+	handledBytes atomic.Int64 // bytes of input that were handled, or kept as the beginning of a message
+	// the kernel was seen not to count the bytes that it receives
+	bytesNotCounted atomic.Bool
+	inputAwaited    atomic.Bool // something waits for input to be handled
+	// called under the lock before and after the messages of one read are handled; may be nil
+	onInputBegins, onInputHandled func()
+	discardInput                  atomic.Bool // its input was malformed: whatever else arrives is discarded
 	// when the message that is still incomplete began, by the controller's clock, or 0
 	partialSince atomic.Int64
 	lastReadAt   atomic.Int64 // when bytes last arrived, by the same clock
@@ -313,55 +318,6 @@
 	return l.partialAge(now), now - time.Duration(l.lastReadAt.Load())
 }
 
-// peerClosed reports whether the peer has closed the connection, or its side of it, even if this process has not noticed
-// yet and unread bytes precede the close. An error of the check itself counts as not closed.
-func (l *link) peerClosed() bool {
-	n, err := l.peek()
-	if err == nil && n > 0 {
-		return l.inCloseWait()
-	}
-	return err == nil || err == syscall.ECONNRESET
-}
-
-// inCloseWait asks the kernel for the state of a connection on which unread bytes precede a possible close.
-func (l *link) inCloseWait() bool {
-	conn, ok := l.conn.(netpoll.Conn)
-	if !ok {
-		return false
-	}
-	info, err := syscall.GetsockoptInt(conn.Fd(), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-	if err != nil {
-		return false
-	}
-	var prefix [4]byte // tcpi_state is the first byte of tcp_info
-	binary.NativeEndian.PutUint32(prefix[:], uint32(info))
-	return prefix[0] == tcpCloseWait
-}
-
-// tcpCloseWait is TCP_CLOSE_WAIT of the kernel's tcp_states.h: the peer has sent everything and closed its side.
-const tcpCloseWait byte = 8
-
-// peek reads one byte from the kernel's buffer without consuming it; n is 0 if the peer has closed its side.
-func (l *link) peek() (n int, err error) {
-	conn, ok := l.conn.(netpoll.Conn)
-	if !ok {
-		return 0, syscall.ENOTSUP
-	}
-	var buffer [1]byte
-	n, _, err = syscall.Recvfrom(conn.Fd(), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
-// hasUnread reports whether unprocessed input exists: in a read that waits for the lock, in netpoll's buffer, or in the
-// kernel's buffer, where it stays while the process is stalled. An error of the check counts as none.
-func (l *link) hasUnread() bool {
-	if l.readWaiting.Load() || l.conn.Reader().Len() > 0 {
-		return true
-	}
-	n, err := l.peek()
-	return err == nil && n > 0
-}
-
 // maxIdleBuffer is the largest buffer for incomplete messages that an idle connection may keep.
 const maxIdleBuffer = 16 << 10
 
@@ -385,6 +341,7 @@
 	defer l.readWaiting.Store(false)
 	reader := l.conn.Reader()
 	if l.discardInput.Load() {
+		l.handledBytes.Add(int64(reader.Len()))
 		return errors.Join(reader.Skip(reader.Len()), reader.Release())
 	}
 	defer func() {
@@ -400,6 +357,7 @@
 	if err != nil {
 		return err
 	}
+	read := len(data)
 	l.lastReadAt.Store(int64(l.c.clock()))
 	if len(l.partial) > 0 {
 		l.partial = append(l.partial, data...)
@@ -415,14 +373,7 @@
 		calls = append(calls, call)
 		data, consumed = data[size:], true
 	}
-	if len(calls) > 0 {
-		l.c.withLock(func() {
-			l.readWaiting.Store(false)
-			for _, call := range calls { // a panic in one message must not lose those behind it
-				l.c.runGuarded(call)
-			}
-		})
-	}
+	l.handleInput(read, calls)
 	if len(data) == 0 {
 		l.partialSince.Store(0)
 	} else if consumed || l.partialSince.Load() == 0 {
@@ -436,6 +387,27 @@
 	return err
 }
 
+// handleInput counts bytes as handled and makes the calls for the messages in them.
+func (l *link) handleInput(read int, calls []func()) {
+	if len(calls) == 0 && !l.inputAwaited.Load() {
+		l.handledBytes.Add(int64(read))
+		return
+	}
+	l.c.withLock(func() {
+		l.readWaiting.Store(false)
+		l.handledBytes.Add(int64(read))
+		if l.onInputBegins != nil {
+			l.onInputBegins()
+		}
+		for _, call := range calls { // a panic in one message must not lose those behind it
+			l.c.runGuarded(call)
+		}
+		if l.onInputHandled != nil {
+			l.onInputHandled()
+		}
+	})
+}
+
 // keepPartial keeps the beginning of an incomplete message, in little more memory than it needs, and accounts for it.
 func (l *link) keepPartial(data []byte) {
 	switch {
--- a/controller/panics.go
+++ b/controller/panics.go
@@ -66,7 +66,9 @@
 	recurring := c.recordPanic(panicValue, string(debug.Stack()))
 	c.pendingCalls = nil
 	for _, id := range sorted(c.jobs) {
-		c.tryRun(func() { c.discardJob(c.jobs[id]) })
+		if j := c.jobs[id]; !j.notHandedOver { // the new module gets the others
+			c.tryRun(func() { c.discardJob(j) })
+		}
 	}
 	if recurring || !c.tryRun(c.restartModule) {
 		c.pause()
--- a/controller/race_attempt_test.go
+++ b/controller/race_attempt_test.go
@@ -113,7 +113,7 @@
 	b.waitUntil(func() bool { return len(b.c.jobs) == 1 })
 	b.c.withLock(func() {
 		for _, j := range b.c.jobs {
-			if j.inFlight == nil || j.inFlight.link == nil || j.inFlight.awaitingInputSince != 0 {
+			if j.inFlight == nil || j.inFlight.link == nil || j.inFlight.heldSince != 0 {
 				t.Errorf("held back: %+v", j.inFlight)
 			}
 		}
@@ -230,35 +230,184 @@
 	}
 }
 
-// TestCancelUnread: a client has cancelled its job, and the cancel is still unread when the job is about to be sent. The
-// attempt waits once, until the reader has handled the input.
+// stopReads keeps netpoll's poller from calling back until the returned function is called.
+func stopReads() (resume func()) {
+	runner.entry <- struct{}{}
+	return func() { <-runner.entry }
+}
+
+// inNetpoll reports whether input waits in netpoll's buffer for its callback.
+func inNetpoll(l *link) bool { return l.conn.Reader().Len() > 0 && !l.readWaiting.Load() }
+
+// inKernel reports whether input waits in the kernel alone.
+func inKernel(l *link) bool {
+	_, inKernel := l.peekInput()
+	return inKernel && l.conn.Reader().Len() == 0 && !l.readWaiting.Load()
+}
+
+// TestCancelUnread guards against attempts that begin although their client has cancelled, wherever the cancel lies
+// unread: in the kernel, in netpoll's buffer, or in a read that waits for the lock. However long it lies there, the
+// attempt is not sent.
 func TestCancelUnread(t *testing.T) {
+	for where, reached := range map[string]func(*link) bool{
+		"in the kernel":            inKernel,
+		"in netpoll's buffer":      inNetpoll,
+		"in a read without a lock": func(l *link) bool { return l.readWaiting.Load() },
+	} {
+		t.Run(where, func(t *testing.T) {
+			e := newFakeEngine(t, "127.0.0.1:0")
+			b := startController(t, `,"may_cancel":false`, e)
+			cl, other := b.connect(), b.connect()
+			cl.sendQuickJob(1, "2900")
+			e.expectCommand("serve").answer("HIT", "count=1", rowA)
+			cl.expectFrame(frame.Answer, 1, frame.Done, rowA)
+			g := b.holdDials()
+			b.c.withLock(func() { b.c.engines["e0"].links[0].retired = true })
+			cl.sendQuickJob(2, "2900")
+			g.awaitDial(t)
+			resume := func() {}
+			b.c.withLock(func() { // under the lock no input is handled
+				j := b.c.jobs[jobIDOf(2)]
+				l := j.client.link
+				if where != "in a read without a lock" {
+					resume = stopReads()
+				}
+				if where == "in the kernel" { // the poller is busy with another connection
+					other.write([]byte{0})
+					awaitCondition(t, func() bool { return inNetpoll(b.linkOf(other)) })
+				}
+				cl.write(frame.AppendHeader(nil, frame.Cancel, 2, 0))
+				awaitCondition(t, func() bool { return reached(l) })
+				b.c.engines["e0"].links[0].retired = false // now a connection is available
+				for range 4 {
+					time.Sleep(maxInputLag)
+					b.c.now = b.c.clock()
+					b.c.placeWaiting(j.inFlight.engine)
+					if j.inFlight.link != nil {
+						t.Fatal("sent before the client's input was read")
+					}
+				}
+				if b.c.counts[attemptsHeld] != 1 {
+					t.Error("not held for its client's input: ", b.c.counts[attemptsHeld])
+				}
+			})
+			resume()
+			b.waitUntil(func() bool { return len(b.c.jobs) == 0 })
+			g.release <- struct{}{}
+			b.expectOnlyJob(e, b.connect(), 3)
+		})
+	}
+}
+
+// awaitCondition waits for a condition without taking the lock.
+func awaitCondition(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !condition(); {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met in time")
+		}
+	}
+}
+
+// TestCancelBehindBurst guards against jobs that are sent on as they are read although their cancels have arrived and lie
+// behind the other requests of their client.
+func TestCancelBehindBurst(t *testing.T) {
+	const jobs = 31
 	e := newFakeEngine(t, "127.0.0.1:0")
-	b := startController(t, `,"may_cancel":false`, e)
+	b := startController(t, "", e)
 	cl, other := b.connect(), b.connect()
-	cl.sendQuickJob(1, "2900")
+	cl.sendQuickJob(1, "2900") // a connection to the engine is open from now on
 	e.expectCommand("serve").answer("HIT", "count=1", rowA)
 	cl.expectFrame(frame.Answer, 1, frame.Done, rowA)
+	b.c.withLock(func() { // under the lock no input is handled
+		var input, cancels []byte
+		for stream := uint32(2); stream < 2+jobs; stream++ {
+			input = append(input, jobFrame(stream, strings.Repeat("x", 8000), "class", "quick", "id", string(jobIDOf(stream)), "wait", "2900")...)
+			cancels = frame.AppendHeader(cancels, frame.Cancel, stream, 0)
+		}
+		cl.write(input, cancels)
+		time.Sleep(3 * maxInputLag)
+	})
+	b.waitUntil(func() bool { return b.c.counts[jobsClientGone] == jobs })
+	b.c.withLock(func() {
+		if len(b.c.jobs) != 0 || b.c.counts[attemptsDecided] != 1 {
+			t.Errorf("%d attempts, %d jobs left", b.c.counts[attemptsDecided], len(b.c.jobs))
+		}
+	})
+	other.sendJob(1, "select 1", "class", "quick", "id", "00000000000000aa", "wait", "2900")
+	if cmd := e.expectCommand("serve"); cmd.words[1] != "00000000000000aa" {
+		t.Error("sent although it was cancelled: ", cmd.words[1])
+	}
+}
+
+// TestInputBehindForLong guards against jobs without an answer where the input of a client is not read any more: their
+// attempts give up their places, and the jobs are refused.
+func TestInputBehindForLong(t *testing.T) {
+	e := newFakeEngine(t, "127.0.0.1:0")
+	b := startController(t, "", e)
+	cl, other := b.connect(), b.connect()
 	g := b.holdDials()
-	b.c.withLock(func() { b.c.engines["e0"].links[0].retired = true })
-	cl.sendQuickJob(2, "2900")
+	cl.sendQuickJob(1, "2900")
 	g.awaitDial(t)
-	b.c.withLock(func() { // under the lock no input is handled
-		j := b.c.jobs["0000000000000002"]
-		l := j.client.link
-		cl.write(frame.AppendHeader(nil, frame.Cancel, 2, 0))
-		for deadline := time.Now().Add(testTimeout); !l.hasUnread() && time.Now().Before(deadline); {
+	resume := stopReads()
+	defer resume()
+	cl.write(frame.AppendHeader(nil, frame.Cancel, 90, 0)) // of another stream
+	_ = other
+	time.Sleep(2 * maxInputLag)
+	for range 3 {
+		g.release <- struct{}{}
+	}
+	cl.expectFrame(frame.Answer, 1, frame.Rejected, "")
+	b.c.withLock(func() {
+		if b.c.counts[attemptsHeldTooLong] == 0 || b.c.counts[jobsRejected] != 1 {
+			t.Error(b.c.counts[attemptsHeldTooLong], b.c.counts[jobsRejected])
 		}
-		b.c.engines["e0"].links[0].retired = false // now a connection is available
-		b.c.now++
-		b.c.placeWaiting(j.inFlight.engine)
-		if j.inFlight.link != nil {
-			t.Error("sent before the client's input was read")
+	})
+}
+
+// TestArrivalsBehindForLong: jobs of a client whose input stays behind reach the module after a while, and those that end
+// sooner in time for that.
+func TestArrivalsBehindForLong(t *testing.T) {
+	e := newFakeEngine(t, "127.0.0.1:0")
+	b := startController(t, "", e)
+	b.connect()
+	b.c.withLock(func() {
+		for _, cl := range b.c.clients {
+			cl.input.beingHandled = true // nothing counts as read
+			cl.input.upToDateAt = 1
+			for stream, wait := range map[uint32]time.Duration{1: 80 * time.Millisecond, 2: 10 * time.Second} {
+				j := &job{id: jobIDOf(stream), stream: stream, client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + wait}
+				cl.jobs[stream], b.c.jobs[j.id] = j, j
+				b.c.queueArrival(cl, arrival{job: j})
+			}
+			cl.input.beingHandled = false
+			if got := b.handedOver(); got != 0 || b.c.counts[jobsRejected] != 0 {
+				t.Error(got, "jobs handed over at once")
+			}
+			b.c.now += 20 * time.Millisecond
+			cl.input.checkedAt = b.c.now // the kernel is not asked
+			b.c.continueWaiting(cl)
+			if b.c.counts[jobsRejected] != 1 || b.handedOver() != 0 {
+				t.Error("the job with little time was not refused after a quarter of it, or the other handed over")
+			}
+			b.c.now += maxInputWait
+			cl.input.checkedAt = b.c.now
+			b.c.continueWaiting(cl)
+			if got := b.handedOver(); got != 1 {
+				t.Error(got, "jobs handed over after the longest wait")
+			}
 		}
 	})
-	b.waitUntil(func() bool { return len(b.c.jobs) == 0 })
-	g.release <- struct{}{}
-	b.expectOnlyJob(e, other, 3)
+}
+
+// handedOver counts the jobs that the module knows. The lock is held.
+func (b *testbed) handedOver() (count int) {
+	for _, j := range b.c.jobs {
+		if !j.notHandedOver {
+			count++
+		}
+	}
+	return count
 }
 
 // TestWindowPassesWhileDialing: a keyed job may have run, and the connection for its next attempt opens only after the
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -1,6 +1,9 @@
 package controller
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // This file keeps the attempts that have no connection yet. Each event looks at the attempts that it may help and at no
 // others: a check of all of them on each arrival would take the lock for longer the more of them wait.
@@ -56,16 +59,20 @@
 	c.placeWaiting(e)
 }
 
-// admitWaiting checks an attempt that has no connection: it becomes ready, waits for unread input, or is withdrawn.
+// admitWaiting checks an attempt that has no connection: it becomes ready, waits for input that
+// is not handled yet, or is withdrawn.
 func (c *Controller) admitWaiting(a *attempt) {
 	c.counts[attemptsChecked]++
 	a.checkedAt = c.now
 	switch {
 	case !c.maySend(a):
 		c.withdrawUnfit(a)
-	case c.mustAwaitInput(a):
+	case c.discoveryUnread():
 		a.engine.waiting.unready(a)
-		c.awaitInput(a)
+		c.holdForDiscovery(a)
+	case !a.job.client.inputUpToDate():
+		a.engine.waiting.unready(a)
+		c.holdForInput(a)
 	default:
 		a.engine.waiting.setReady(a)
 	}
@@ -147,39 +154,31 @@
 	}
 }
 
-// awaitInput has an attempt checked again while input that it depends on is unread.
-func (c *Controller) awaitInput(a *attempt) {
-	if a.awaitsInput {
-		return
+// discoveryCheckInterval is the time between checks whether the input of discovery was read.
+const discoveryCheckInterval = 2 * time.Millisecond
+
+// holdForDiscovery has an attempt checked again later, as unread input of discovery may say that its engine has left.
+func (c *Controller) holdForDiscovery(a *attempt) {
+	c.awaitingDiscovery = append(c.awaitingDiscovery, a)
+	if len(c.awaitingDiscovery) == 1 { // one timer for all of them
+		c.schedule(c.clock()+discoveryCheckInterval, c.continueAfterDiscovery)
 	}
-	a.awaitsInput = true
-	c.awaitingInput = append(c.awaitingInput, a)
-	c.scheduleInputCheck()
 }
 
-// scheduleInputCheck schedules the next check of the attempts that wait for input: one for all of them. It counts from
-// clock() and not from c.now, which lags far behind in a stalled process.
-func (c *Controller) scheduleInputCheck() {
-	if c.inputCheckScheduled || len(c.awaitingInput) == 0 {
+// continueAfterDiscovery checks the attempts again that wait for the input of discovery.
+func (c *Controller) continueAfterDiscovery() {
+	if c.discoveryUnread() {
+		c.schedule(c.clock()+discoveryCheckInterval, c.continueAfterDiscovery)
 		return
 	}
-	c.inputCheckScheduled = true
-	c.schedule(c.clock()+unreadRecheckInterval, c.checkAwaitingInput)
-}
-
-// checkAwaitingInput checks the attempts that wait for input once.
-func (c *Controller) checkAwaitingInput() {
-	c.inputCheckScheduled = false
-	awaiting := c.awaitingInput
-	c.awaitingInput = nil
-	for _, a := range awaiting {
-		a.awaitsInput = false
-		if a.inAll == nil { // it has ended, or is on its way
+	waiting := c.awaitingDiscovery
+	c.awaitingDiscovery = nil
+	for _, a := range waiting {
+		if a.inAll == nil { // it has ended
 			continue
 		}
 		if c.admitWaiting(a); a.inReady != nil {
 			c.placeWaiting(a.engine)
 		}
 	}
-	c.scheduleInputCheck()
 }
--- a/controller/waiting_test.go
+++ b/controller/waiting_test.go
@@ -58,14 +58,16 @@
 	cl := b.connect()
 	b.holdDials()
 	b.c.withLock(func() { // under the lock no input is handled
-		b.c.now -= time.Second // the jobs have waited
-		b.addAttempts(attempts)
+		b.writeUnread(cl, frame.AppendHeader(nil, frame.Cancel, 100, 0))
+		time.Sleep(2 * maxInputLag)
 		b.c.now = b.c.clock()
-		b.writeUnread(cl, frame.AppendHeader(nil, frame.Cancel, 1, 0))
-		b.c.placeWaiting(b.c.engines["e0"])
+		b.addAttempts(attempts)
+		if b.c.counts[attemptsHeld] != attempts {
+			t.Fatal(b.c.counts[attemptsHeld], "attempts are held")
+		}
 		before := b.c.counts[timersRun]
 		for range rounds {
-			b.elapse(unreadRecheckInterval)
+			b.elapse(inputCheckInterval)
 		}
 		if ran := b.c.counts[timersRun] - before; ran > attempts*rounds {
 			t.Errorf("%d timers ran in %d rounds with %d waiting attempts", ran, rounds, attempts)
--- a/lab/load/client.go
+++ b/lab/load/client.go
@@ -9,10 +9,10 @@
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"yarrowbarrow/internal/frame"
+	"yarrowbarrow/internal/tcpinfo"
 )
 
 // Job is a request of a client. Type is the class of the job and IdempotencyKey makes retries safe; an empty IdempotencyKey or Customer is not sent.
@@ -144,21 +144,11 @@
 	if err != nil {
 		return true
 	}
-	state := tcpEstablished
-	failed := raw.Control(func(fd uintptr) {
-		var info int
-		if info, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
-			var firstBytes [4]byte // tcpi_state is the first byte of tcp_info
-			binary.NativeEndian.PutUint32(firstBytes[:], uint32(info))
-			state = firstBytes[0]
-		}
-	})
-	return failed != nil || err != nil || state != tcpEstablished
+	var info tcpinfo.Info
+	failed := raw.Control(func(fd uintptr) { info, err = tcpinfo.Read(int(fd)) })
+	return failed != nil || err != nil || info.State != tcpinfo.Established
 }
 
-// tcpEstablished is TCP_ESTABLISHED of tcp(7).
-const tcpEstablished byte = 1
-
 // Cancel cancels a job and notifies the peer that nobody waits for it. The job's callback is not called afterwards. It returns whether the
 // job was pending.
 func (c *Client) Cancel(id string) (found bool) {
