A field name of 255 bytes is parsed

What callers saw: a request with a field name of 255 bytes, which the protocol allows, ended its connection, and what was open on it had no answer.

Cause: in ParseFields 1 + the length was computed in a byte and overflowed; the slice panicked, and netpoll closed the connection of a callback that panics (docs/known-faults.md, first line).

Evidence: TestParseFieldsLongestName panics without the change.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -63,8 +63,9 @@
 		if len(rest) < 1 || len(rest) < 3+int(rest[0]) {
 			return nil, errTruncatedFields
 		}
-		name := rest[1 : 1+rest[0]]
-		rest = rest[1+rest[0]:]
+		nameEnd := 1 + int(rest[0])
+		name := rest[1:nameEnd]
+		rest = rest[nameEnd:]
 		size := int(binary.BigEndian.Uint16(rest))
 		if len(rest) < 2+size {
 			return nil, errTruncatedFields
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -68,3 +68,19 @@
 		}
 	})
 }
+
+// TestParseFieldsLongestName guards against a field name of 255 bytes, which the protocol allows, that ended the
+// connection: its length overflowed a byte.
+func TestParseFieldsLongestName(t *testing.T) {
+	longest := string(bytes.Repeat([]byte("n"), 255))
+	payload := append(AppendField([]byte{1}, longest, "value"), "body"...)
+	visited := 0
+	body, err := ParseFields(payload, func(name, value []byte) {
+		if visited++; string(name) != longest || string(value) != "value" {
+			t.Errorf("%q=%q", name, value)
+		}
+	})
+	if err != nil || visited != 1 || string(body) != "body" {
+		t.Error(visited, string(body), err)
+	}
+}
