A long request without room is refused, and its connection stays

Cause: once incomplete messages held a sixteenth of the memory, the connection of the next long message was ended as if its input could not be parsed.

Why the fix works: a long request reserves its place in the same sixteenth when its length is known; without a place its bytes are skipped and it is refused, which needs no memory.

--- a/controller/clients.go
+++ b/controller/clients.go
@@ -58,6 +58,7 @@
 		c.clients[cl.id] = cl
 	}
 	cl.gracefulClose, cl.onShutdown = true, func() { cl.malformed.Store(true) }
+	cl.refuseMessage = cl.refuseIncompleteJob
 	cl.onInputBegins, cl.onInputHandled = cl.inputBegins, cl.inputHandled
 	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 		c.withLock(func() { c.clientClosed(cl) })
--- a/controller/link.go
+++ b/controller/link.go
@@ -17,13 +17,18 @@
 type link struct {
 	c             *Controller
 	conn          netpoll.Connection
-	partial       []byte        // the beginning of an incomplete message
+	partial       []byte // the beginning of an incomplete message
+	skipped       skippedMessage
+	reservedBytes int           // memory reserved for the message in partial, or 0
 	partialBytes  int           // bytes that partial is accounted with
 	wake          chan struct{} // signals the writer
 	gracefulClose bool          // closes by shutting down its write side first
 	// its partial message has a limit of its own and is not accounted with those of other connections
 	ownLimit   bool
 	writeTimer *time.Timer // closes the connection when a write takes too long
+	// returns the size of a message of which the beginning has arrived, and the call that refuses it, or nil if it can't be
+	// refused; may be nil
+	refuseMessage func(beginning []byte) (size int, call func())
 	// called right before the write side is shut down, under the link's own lock; may be nil
 	onShutdown func()
 	// a read waits for the controller's lock, with bytes that are no longer in netpoll's buffer
@@ -365,6 +370,12 @@
 	}
 	var calls []func()
 	size, consumed := 0, false
+	if l.skipped.rest > 0 {
+		var call func()
+		if data, call = l.skipped.skip(data); call != nil {
+			calls, consumed = append(calls, call), true
+		}
+	}
 	for len(data) > 0 {
 		var call func()
 		if call, size, err = parse(data); err != nil || size == 0 {
@@ -374,15 +385,18 @@
 		data, consumed = data[size:], true
 	}
 	l.handleInput(read, calls)
-	if len(data) == 0 {
+	if len(data) == 0 && l.skipped.rest == 0 {
 		l.partialSince.Store(0)
 	} else if consumed || l.partialSince.Load() == 0 {
 		l.partialSince.Store(int64(l.c.clock()))
 	}
+	if consumed {
+		l.reservedBytes = 0
+	}
 	l.keepPartial(data)
 	_ = reader.Release()
-	if err == nil && !l.ownLimit && len(l.partial) > maxIdleBuffer && l.c.connBytes.Load() > l.c.cfg.MemoryMB<<20/16 {
-		err = errMemory
+	if err == nil {
+		err = l.limitPartial()
 	}
 	return err
 }
@@ -413,6 +427,8 @@
 	switch {
 	case len(data) == 0 && cap(l.partial) > maxIdleBuffer:
 		l.partial = nil
+	case l.reservedBytes > 0:
+		l.partial = data // its buffer has room for the whole message
 	case cap(l.partial) > max(maxIdleBuffer, 4*len(data)):
 		l.partial = slices.Clone(data)
 	default:
@@ -423,7 +439,7 @@
 	}
 	accounted := 0
 	if len(l.partial) > 0 {
-		accounted = cap(l.partial)
+		accounted = max(cap(l.partial), l.reservedBytes)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -50,6 +50,12 @@
 	return data[4], binary.BigEndian.Uint32(data[5:]), data[HeaderBytes:size], size, nil
 }
 
+// Header decodes the header of a frame of which at least HeaderBytes have arrived and which Next found incomplete. size is the
+// number of bytes that the whole frame takes.
+func Header(data []byte) (kind byte, stream uint32, size int) {
+	return data[4], binary.BigEndian.Uint32(data[5:]), 4 + int(binary.BigEndian.Uint32(data))
+}
+
 var errTruncatedFields = errors.New("fields end early")
 
 // ParseFields calls visit with each field of a payload and returns the body, which follows the fields. All of them share memory with
