--- a/controller/client_input.go
+++ b/controller/client_input.go
@@ -124,10 +124,11 @@
 	c.awaitInputOf(cl)
 }
 
-// awaitInputOf has a client checked while something waits for its input: one timer for all of it.
+// awaitInputOf has a client checked while something waits for its input: one timer for all of it, and none while a read is
+// being handled, which ends with a check.
 func (c *Controller) awaitInputOf(cl *client) {
 	cl.inputAwaited.Store(true)
-	if cl.input.checkScheduled {
+	if cl.input.checkScheduled || cl.input.beingHandled {
 		return
 	}
 	cl.input.checkScheduled = true
