--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -50,30 +50,62 @@
 	return attempts
 }
 
-// sendAttempt queues an attempt for a connection to its engine; usually one is open already.
+// sendAttempt sends an attempt, on a connection that is free or on one that it waits for; usually one is free.
 func (c *Controller) sendAttempt(a *attempt) {
 	e := a.engine
 	c.markActive(e)
+	obstacle := c.obstacleTo(a)
+	if obstacle == noObstacle && e.waiting.ready.Len() == 0 {
+		if l := c.freeLink(e, a.job); l != nil {
+			c.begin(a, l)
+			return
+		}
+	}
 	e.waiting.add(a)
-	c.admitWaiting(a)
+	c.applyObstacle(a, obstacle)
 	c.placeWaiting(e)
 }
 
-// admitWaiting checks an attempt that has no connection: it becomes ready, waits for input that
-// is not handled yet, or is withdrawn.
-func (c *Controller) admitWaiting(a *attempt) {
+// obstacle is what keeps an attempt from being put on a connection.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	mayNotLeave
+	discoveryIsUnread
+	clientIsUnread
+)
+
+// obstacleTo checks an attempt that has no connection.
+func (c *Controller) obstacleTo(a *attempt) obstacle {
 	c.counts[attemptsChecked]++
 	a.checkedAt = c.now
 	switch {
 	case !c.maySend(a):
-		c.withdrawUnfit(a)
+		return mayNotLeave
 	case c.discoveryUnread():
+		return discoveryIsUnread
+	case !a.job.client.inputUpToDate():
+		return clientIsUnread
+	}
+	return noObstacle
+}
+
+// admitWaiting checks an attempt that is in the lists: it becomes ready, waits for input that is not handled yet, or is
+// withdrawn.
+func (c *Controller) admitWaiting(a *attempt) { c.applyObstacle(a, c.obstacleTo(a)) }
+
+func (c *Controller) applyObstacle(a *attempt, found obstacle) {
+	switch found {
+	case mayNotLeave:
+		c.withdrawUnfit(a)
+	case discoveryIsUnread:
 		a.engine.waiting.unready(a)
 		c.holdForDiscovery(a)
-	case !a.job.client.inputUpToDate():
+	case clientIsUnread:
 		a.engine.waiting.unready(a)
 		c.holdForInput(a)
-	default:
+	case noObstacle:
 		a.engine.waiting.setReady(a)
 	}
 }
@@ -117,6 +149,11 @@
 			return
 		}
 	}
+	c.begin(a, l)
+}
+
+// begin puts an attempt on a connection, unless the module does not allow it any more.
+func (c *Controller) begin(a *attempt, l *engineLink) {
 	if !c.mayBegin(a) {
 		c.withdrawUnfit(a)
 		return
