--- a/controller/clients.go
+++ b/controller/clients.go
@@ -340,14 +340,10 @@
 	tables, customer := statement.TableGroup(string(j.statement)), cmp.Or(string(f.tenant), string(f.customer))
 	tenant, key, isRetry := logic.CustomerID(f.tenant), logic.Key(f.key), len(f.retry) > 0 && string(f.retry) != "0"
 	return func() {
-		cl.touch()
-		switch {
-		case cl.disconnected || cl.malformed.Load():
+		if !c.beginStream(cl, stream) {
 			return
-		case !cl.openStream(stream):
-			c.failMalformed(cl, errStreamInUse)
-			return
-		case c.jobs[j.id] != nil:
+		}
+		if c.jobs[j.id] != nil {
 			c.counts[jobsMalformed]++
 			cl.sendFrame(frame.Answer, stream, frame.Failed, "error", "id: in use")
 			return
@@ -397,6 +393,20 @@
 	return c.jobBytes+c.connBytes.Load()+int64(more) > c.cfg.MemoryMB<<20/4
 }
 
+// beginStream opens the stream of a job that was read, and reports whether the job is to be handled. A stream that is not
+// new makes its client's input malformed.
+func (c *Controller) beginStream(cl *client, stream uint32) bool {
+	cl.touch()
+	if cl.disconnected || cl.malformed.Load() {
+		return false
+	}
+	if !cl.openStream(stream) {
+		c.failMalformed(cl, errStreamInUse)
+		return false
+	}
+	return true
+}
+
 // openStream reports whether a stream is new on its connection, and records it: stream numbers increase.
 func (cl *client) openStream(stream uint32) bool {
 	if stream <= cl.lastStream {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -232,11 +232,7 @@
 	c.now = c.clock()
 	c.detectStall(previous)
 	c.runGuarded(f)
-	for len(c.pendingCalls) > 0 {
-		call := c.pendingCalls[0]
-		c.pendingCalls = c.pendingCalls[1:]
-		c.runGuarded(call)
-	}
+	c.runPending()
 	c.armTimer()
 	records := c.logRecords
 	c.logRecords = nil
@@ -258,6 +254,15 @@
 	})
 }
 
+// runPending makes the calls that runLater has queued, and those that they queue.
+func (c *Controller) runPending() {
+	for len(c.pendingCalls) > 0 {
+		call := c.pendingCalls[0]
+		c.pendingCalls = c.pendingCalls[1:]
+		c.runGuarded(call)
+	}
+}
+
 // runLater queues a call that a host method leads to, because the module must not be called from within itself.
 func (c *Controller) runLater(f func()) { c.pendingCalls = append(c.pendingCalls, f) }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -305,7 +305,7 @@
 
 // sendQuickJob sends a job of class quick, whose id is the stream number.
 func (cl testClient) sendQuickJob(stream uint32, wait string) {
-	cl.sendJob(stream, "select 1", "class", "quick", "id", fmt.Sprintf("%016x", stream), "wait", wait)
+	cl.sendJob(stream, "select 1", "class", "quick", "id", string(jobIDOf(stream)), "wait", wait)
 }
 
 // readFrame reads a frame.
--- a/controller/panics_test.go
+++ b/controller/panics_test.go
@@ -124,9 +124,7 @@
 // takeJob hands a new job of the only client to the module. The lock is held.
 func (b *testbed) takeJob() {
 	for _, cl := range b.c.clients {
-		cl.lastStream++
-		j := &job{id: jobIDOf(cl.lastStream), stream: cl.lastStream, client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + time.Minute}
-		cl.jobs[j.stream], b.c.jobs[j.id] = j, j
+		j := b.addJob(cl, time.Minute)
 		b.c.logic.JobArrived(b.c.now, j.id, j.class, "", "", j.deadline, 0, 0, 0, false, nil)
 	}
 }
--- a/controller/race_attempt_test.go
+++ b/controller/race_attempt_test.go
@@ -352,14 +352,13 @@
 func TestInputBehindForLong(t *testing.T) {
 	e := newFakeEngine(t, "127.0.0.1:0")
 	b := startController(t, "", e)
-	cl, other := b.connect(), b.connect()
+	cl := b.connect()
 	g := b.holdDials()
 	cl.sendQuickJob(1, "2900")
 	g.awaitDial(t)
 	resume := stopReads()
 	defer resume()
 	cl.write(frame.AppendHeader(nil, frame.Cancel, 90, 0)) // of another stream
-	_ = other
 	time.Sleep(2 * maxInputLag)
 	for range 3 {
 		g.release <- struct{}{}
@@ -382,10 +381,8 @@
 		for _, cl := range b.c.clients {
 			cl.input.beingHandled = true // nothing counts as read
 			cl.input.upToDateAt = 1
-			for stream, wait := range map[uint32]time.Duration{1: 80 * time.Millisecond, 2: 10 * time.Second} {
-				j := &job{id: jobIDOf(stream), stream: stream, client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + wait}
-				cl.jobs[stream], b.c.jobs[j.id] = j, j
-				b.c.queueArrival(cl, arrival{job: j})
+			for _, timeLeft := range []time.Duration{80 * time.Millisecond, 10 * time.Second} {
+				b.c.queueArrival(cl, arrival{job: b.addJob(cl, timeLeft)})
 			}
 			cl.input.beingHandled = false
 			if got := b.handedOver(); got != 0 || b.c.counts[jobsRejected] != 0 {
--- a/controller/skipped_message.go
+++ b/controller/skipped_message.go
@@ -67,12 +67,7 @@
 
 // refuseSkippedJob refuses a job whose bytes were not kept. It never ran, so a retry does no harm.
 func (c *Controller) refuseSkippedJob(cl *client, stream uint32) {
-	cl.touch()
-	switch {
-	case cl.disconnected || cl.malformed.Load():
-		return
-	case !cl.openStream(stream):
-		c.failMalformed(cl, errStreamInUse)
+	if !c.beginStream(cl, stream) {
 		return
 	}
 	c.counts[jobsReceived]++
--- a/controller/waiting_test.go
+++ b/controller/waiting_test.go
@@ -9,17 +9,20 @@
 	"yarrowbarrow/logic"
 )
 
+// addJob adds a job of a client, without the module. The lock is held.
+func (b *testbed) addJob(cl *client, timeLeft time.Duration) *job {
+	cl.lastStream++
+	j := &job{id: jobIDOf(cl.lastStream), stream: cl.lastStream, client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + timeLeft,
+		priority: 1}
+	cl.jobs[j.stream], b.c.jobs[j.id] = j, j
+	return j
+}
+
 // addAttempts begins attempts at an engine for new jobs of the only client, without the module. The lock is held.
 func (b *testbed) addAttempts(count int) {
-	b.t.Helper()
 	for _, cl := range b.c.clients {
 		for range count {
-			j := &job{id: "", client: cl, class: "quick", acceptedAt: b.c.now, deadline: b.c.now + time.Minute, priority: 1}
-			cl.lastStream++
-			j.stream = cl.lastStream
-			j.id = jobIDOf(j.stream)
-			cl.jobs[j.stream], b.c.jobs[j.id] = j, j
-			host{b.c}.Attempt(j.id, "e0", time.Minute, time.Minute)
+			host{b.c}.Attempt(b.addJob(cl, time.Minute).id, "e0", time.Minute, time.Minute)
 		}
 	}
 }
@@ -29,24 +32,14 @@
 	time.Sleep(span)
 	b.c.now = b.c.clock()
 	b.c.runDue()
-	for len(b.c.pendingCalls) > 0 {
-		call := b.c.pendingCalls[0]
-		b.c.pendingCalls = b.c.pendingCalls[1:]
-		call()
-	}
+	b.c.runPending()
 }
 
 // writeUnread has a client send bytes that stay unread while the lock is held.
 func (b *testbed) writeUnread(cl testClient, bytes []byte) {
 	b.t.Helper()
 	cl.write(bytes)
-	for _, known := range b.c.clients {
-		for deadline := time.Now().Add(testTimeout); !known.hasUnread() && time.Now().Before(deadline); {
-		}
-		if !known.hasUnread() {
-			b.t.Fatal("nothing is unread")
-		}
-	}
+	awaitCondition(b.t, b.linkOf(cl).hasUnread)
 }
 
 // TestInputChecksDoNotMultiply guards against checks of waiting attempts that each schedule one more check for every
