No look for a closed peer that only tests call; one grace for clients that have gone

Change: the tests ask received().closed, which the product asks; invariant.ClientGrace serves both; recheckWaiting serves both waits. No assertion, bound or figure differs. A comment is wrapped.

--- a/controller/client_input.go
+++ b/controller/client_input.go
@@ -168,9 +168,7 @@
 	switch {
 	case a.inAll == nil: // it has ended
 	case upToDate:
-		if c.admitWaiting(a); a.inReady != nil {
-			c.placeWaiting(a.engine)
-		}
+		c.recheckWaiting(a)
 	case c.clock()-a.heldSince >= maxInputWait:
 		c.counts[attemptsHeldTooLong]++
 		c.withdrawUnfit(a)
--- a/controller/engines.go
+++ b/controller/engines.go
@@ -207,8 +207,9 @@
 }
 
 // maxQueueTime is how long after the input of its client was up to date an attempt may stay queued on its connection,
-// beyond the tick for which a writer pauses. An attempt that is still unsent after that, because the process stalled or the engine reads nothing, is withdrawn and
-// decided again: its client, its engine and its time were checked when it was queued.
+// beyond the tick for which a writer pauses. An attempt that is still unsent after that, because the process stalled or
+// the engine reads nothing, is withdrawn and decided again: its client, its engine and its time were checked when it was
+// queued.
 const maxQueueTime = 85 * time.Millisecond
 
 // writeAttempt queues an attempt on a connection: the head, the statement as it arrived, and the end of the line.
--- a/controller/invariants.go
+++ b/controller/invariants.go
@@ -67,7 +67,7 @@
 	if sentAt == 0 || c.checksDisabled {
 		return
 	}
-	if a.job.client != nil && sentAt > a.inputUpToDateAt+clientGoneGrace {
+	if a.job.client != nil && sentAt > a.inputUpToDateAt+invariant.ClientGrace {
 		c.counts[attemptsOnOldInput]++
 	}
 	send := invariant.Send{SentAt: sentAt, ClientGone: a.job.clientGoneAt, DrainedAt: a.engine.drainingSince, Grace: c.cfg.Settings.DrainGrace,
@@ -78,9 +78,6 @@
 	c.reportViolation(send.Check(), "job", a.job.id, "attempt", a.number, "engine", a.engine.id, "left", sentAt, "now", c.now)
 }
 
-// clientGoneGrace is how long after its client has gone an attempt may still begin, by the operators' pages.
-const clientGoneGrace = 100 * time.Millisecond
-
 // reason is why something was done, for the log: each close, further attempt and refusal has one.
 type reason string
 
--- a/controller/link_input.go
+++ b/controller/link_input.go
@@ -13,7 +13,9 @@
 
 // receivedInput is what the kernel tells about the input of a connection.
 type receivedInput struct {
-	closed bool // the peer has closed the connection or its side of it, whether or not bytes precede the close
+	// the peer has closed the connection or its side of it, even if this process has not noticed yet and unread bytes
+	// precede the close
+	closed bool
 	unread bool // not all input was handled
 }
 
@@ -61,15 +63,5 @@
 	return err == nil || err == syscall.ECONNRESET, false
 }
 
-// peerClosed reports whether the peer has closed the connection, or its side of it, even if this process has not noticed
-// yet and unread bytes precede the close. An error of the check itself counts as not closed.
-func (l *link) peerClosed() bool {
-	if info, ok := l.tcpInfo(); ok {
-		return info.State.PeerClosed()
-	}
-	closed, _ := l.peekInput()
-	return closed
-}
-
 // hasUnread reports whether input has arrived that was not handled.
 func (l *link) hasUnread() bool { return l.received().unread }
--- a/controller/race_attempt_test.go
+++ b/controller/race_attempt_test.go
@@ -169,7 +169,7 @@
 		}
 		l := j.client.link
 		cl.Close()
-		for deadline := time.Now().Add(testTimeout); !l.peerClosed() && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(testTimeout); !l.received().closed && time.Now().Before(deadline); {
 		}
 		b.c.now++
 		if b.c.maySend(j.inFlight) {
@@ -190,6 +190,8 @@
 
 func (s rawSocketConn) Fd() int { return s.fd }
 
+func (s rawSocketConn) Reader() netpoll.Reader { return netpoll.NewLinkBuffer() }
+
 // TestLeftBehindUnread: a client has closed its connection, or its side of it, and unread bytes precede the close.
 func TestLeftBehindUnread(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -216,15 +218,15 @@
 		if _, err := near.Write([]byte("unread")); err != nil {
 			t.Fatal(err)
 		}
-		if l.peerClosed() {
+		if l.received().closed {
 			t.Errorf("%s: reported as closed before it was", what)
 		}
 		if err := leave(near.(*net.TCPConn)); err != nil {
 			t.Fatal(err)
 		}
-		for deadline := time.Now().Add(testTimeout); !l.peerClosed() && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(testTimeout); !l.received().closed && time.Now().Before(deadline); {
 		}
-		if !l.peerClosed() {
+		if !l.received().closed {
 			t.Errorf("%s: close after unread bytes not detected", what)
 		}
 	}
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -95,6 +95,14 @@
 // withdrawn.
 func (c *Controller) admitWaiting(a *attempt) { c.applyObstacle(a, c.obstacleTo(a)) }
 
+// recheckWaiting checks an attempt again that waited for input, and places it if it is ready.
+func (c *Controller) recheckWaiting(a *attempt) {
+	if c.admitWaiting(a); a.inReady != nil {
+		c.placeWaiting(a.engine)
+	}
+}
+
+// applyObstacle has an attempt that is in the lists wait for the right thing.
 func (c *Controller) applyObstacle(a *attempt, found obstacle) {
 	switch found {
 	case mayNotLeave:
@@ -211,11 +219,8 @@
 	waiting := c.awaitingDiscovery
 	c.awaitingDiscovery = nil
 	for _, a := range waiting {
-		if a.inAll == nil { // it has ended
-			continue
-		}
-		if c.admitWaiting(a); a.inReady != nil {
-			c.placeWaiting(a.engine)
+		if a.inAll != nil { // otherwise it has ended
+			c.recheckWaiting(a)
 		}
 	}
 }
--- a/decide/invariant/invariant.go
+++ b/decide/invariant/invariant.go
@@ -37,10 +37,10 @@
 // String returns the violation's name in counters and logs.
 func (v Violation) String() string { return violationNames[v] }
 
-// clientGrace is how long after its client has left an attempt may still be sent. answerGrace is how long after the deadline of a
+// ClientGrace is how long after its client has left an attempt may still be sent. answerGrace is how long after the deadline of a
 // job its answer may still be sent. Both values are from the operators' pages.
 const (
-	clientGrace = 100 * time.Millisecond
+	ClientGrace = 100 * time.Millisecond
 	answerGrace = 500 * time.Millisecond
 )
 
@@ -56,7 +56,7 @@
 // Check returns the rule that the attempt broke when it was sent, or None.
 func (s Send) Check() Violation {
 	switch {
-	case s.ClientGone > 0 && s.SentAt > s.ClientGone+clientGrace:
+	case s.ClientGone > 0 && s.SentAt > s.ClientGone+ClientGrace:
 		return SentAfterClient
 	case s.DrainedAt > 0 && s.SentAt > s.DrainedAt+s.Grace:
 		return SentAfterDrain
