--- a/review/rig-2/chaos.go
+++ b/review/rig-2/chaos.go
@@ -66,6 +66,9 @@
 		delete(sf, "extra_floor")
 		delete(sf, "extra_per_request")
 	}
+	if seed%3 == 0 {
+		s["discovery"] = "on_request"
+	}
 	r.logf("seed %d cancel %v probes %v notes %v quiet %v grace %v ttl %v group %s sockets %d streams %d load %s budget %v late %v", seed, mayCancel, probes, notes, quiet, grace, ttl, group, sockets, streams, loadRepeat, budget, lateWorth)
 
 	var mu sync.Mutex
@@ -193,6 +196,12 @@
 	newSite := func(born int64) *site {
 		nextEngine++
 		e := r.newEngine(fmt.Sprintf("s-%02d", nextEngine), onServe)
+		e.pageFault = func() string {
+			if seed%2 == 0 && chance(0.04) {
+				return []string{"FAULT", "lost", "twice", "noise", "reset"}[in(5)]
+			}
+			return ""
+		}
 		st := &site{e: e, h: host{Host: e.name, Dial: e.address, Site: []string{"east", "west"}[nextEngine%2], Class: []string{"std", "big"}[nextEngine/2%2], Block: nextEngine % 3, Health: "active", Share: 1, Born: born}}
 		mu.Lock()
 		siteOf[e] = st
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex
 	number    int
 	pageDelay time.Duration
+	pageFault func() string // what goes wrong with a page that is asked for; may be nil
 	conns     map[*engineConn]bool
 	onServe   func(*job)
 	jobs      []*job
@@ -206,6 +207,25 @@
 			e.mu.Lock()
 			pages := e.pages[w[1]]
 			e.mu.Unlock()
+			if e.pageFault != nil {
+				switch e.pageFault() {
+				case "FAULT":
+					c.send(w[1], "FAULT", "-", "")
+					continue
+				case "lost":
+					continue
+				case "noise":
+					c.raw("#?!~ noise\r\n")
+					continue
+				case "reset":
+					c.reset()
+					continue
+				case "twice":
+					if n >= 1 && n < len(pages) {
+						c.send(w[1], "PART", "pos="+w[2], pages[n])
+					}
+				}
+			}
 			if e.pageDelay > 0 {
 				go func() {
 					time.Sleep(time.Duration(n) * e.pageDelay / 2)
