--- a/review/rig-2/memory.go
+++ b/review/rig-2/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -110,6 +111,12 @@
 				if err != nil || !c.alive() {
 					return
 				}
+				if away := longestAfter(mine); away > 0 { // refused, and told to stay away
+					select {
+					case <-time.After(away):
+					case <-c.ended:
+					}
+				}
 			}
 		}()
 	}
@@ -134,3 +141,17 @@
 	default:
 	}
 }
+
+// longestAfter returns the longest time for which the refusals among some requests tell their client to stay away.
+func longestAfter(requests []*request) (longest time.Duration) {
+	for _, q := range requests {
+		q.mu.Lock()
+		for _, fields := range q.fields {
+			if ms, err := strconv.Atoi(fields["after"]); err == nil {
+				longest = max(longest, time.Duration(ms)*time.Millisecond)
+			}
+		}
+		q.mu.Unlock()
+	}
+	return longest
+}
